--- /dev/null
+++ b/src/main/java/notchpick/app/Controller.java
@@ -0,0 +1,243 @@
+package notchpick.app;
+
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Records;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Elector;
+import notchpick.coordination.FrontDoor;
+import notchpick.coordination.Leader;
+import notchpick.coordination.Peers;
+import notchpick.coordination.Placer;
+import notchpick.coordination.Tuning;
+import notchpick.protocol.CloudApi;
+import notchpick.protocol.InvalidMessage;
+import notchpick.protocol.Json;
+import notchpick.protocol.PeerWire;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.UserWire;
+import notchpick.protocol.WorkerWire;
+import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.Progress;
+import notchpick.protocol.peer.Pulse;
+import notchpick.protocol.peer.Relay;
+import notchpick.protocol.peer.Relayed;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.Actor;
+import notchpick.transport.Caller;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import notchpick.transport.EventLoop;
+
+/** Wires the actors of one controller together and passes requests on to them. */
+public final class Controller extends Actor<Controller.Message> implements Elector.Listener {
+    /** What arrives from outside. */
+    public sealed interface Message {}
+
+    public record Begin() implements Message {}
+
+    private record FromOutside(Call call, Consumer<Answer> reply) implements Message {}
+
+    private record FromPeer(Call call, Consumer<Answer> reply) implements Message {}
+
+    private static final long STATE_TIMEOUT_MS = 1500;
+    private static final long CLOUD_TIMEOUT_MS = 5000;
+    private static final long TYPES_PERIOD_MS = 30_000;
+    private static final long RETRY_MS = 500;
+    private static final long RELAY_TIMEOUT_MS = 2000;
+
+    private final Deployment deployment;
+    private final Tuning tuning;
+    private final StateApi state;
+    private final CloudApi cloud;
+    private final Elector elector;
+    private final Peers peers;
+    private final FrontDoor frontDoor;
+    private final long leaderLeaseMs;
+    private Leader leader;
+    private List<MachineType> types;
+    private int redirects;
+
+    public Controller(EventLoop loop, Deployment deployment, Tuning tuning, Caller caller, Random random) {
+        super(loop);
+        this.deployment = deployment;
+        this.tuning = tuning;
+        Caller inTurn = (call, timeoutMs, then) -> caller.call(call, timeoutMs, here(then));
+        this.leaderLeaseMs = (long) (deployment.workerLeaseS() * 1000 * tuning.leaderLeaseRatio());
+        this.state = new StateApi(inTurn, loop, deployment.stateAddress(), STATE_TIMEOUT_MS,
+                deployment.stateRps() / deployment.controllers());
+        this.cloud = new CloudApi(inTurn, deployment.cloudAddress(), CLOUD_TIMEOUT_MS);
+        this.elector = new Elector(loop, deployment.node(), state, random, leaderLeaseMs, this);
+        this.peers = new Peers(loop, deployment, inTurn, this::pulse, this::heard);
+        this.frontDoor = new FrontDoor(loop, deployment, state, this::progress);
+    }
+
+    /** Serves users, workers and health checks. */
+    public void serve(Call call, Consumer<Answer> reply) {
+        tell(new FromOutside(call, reply));
+    }
+
+    /** Serves the other controllers. */
+    public void servePeer(Call call, Consumer<Answer> reply) {
+        tell(new FromPeer(call, reply));
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof Begin) {
+            elector.tell(new Elector.Begin());
+            peers.tell(new Peers.Begin());
+            learnTypes();
+            every((long) (deployment.reportS() * 1000), () -> redirects /= 2);
+        } else if (message instanceof FromOutside outside) {
+            outside(outside.call(), outside.reply());
+        } else if (message instanceof FromPeer peer) {
+            peer(peer.call(), peer.reply());
+        }
+    }
+
+    private void outside(Call call, Consumer<Answer> reply) {
+        String path = call.path();
+        if (path.equals("/hello")) {
+            if (call.method().equals("POST")) {
+                report(call, reply);
+            } else {
+                reply.accept(new Answer(405, new byte[0]));
+            }
+        } else if (path.equals("/ready")) {
+            reply.accept(new Answer(call.method().equals("GET") ? isReady() ? 200 : 503 : 405, new byte[0]));
+        } else if (!state.reachable() && peers.withState() != null) {
+            // Cut off from the state service while a peer is not: let the peer answer.
+            peers.relay(peers.withState(), call, RELAY_TIMEOUT_MS, answer -> reply.accept(
+                    answer.status() != 0 ? answer
+                            : new Answer(503, Json.bytes(UserWire.error("no state service")), 1)));
+        } else {
+            frontDoor.tell(new FrontDoor.Request(call, reply));
+        }
+    }
+
+    /** In an outage that all share, leaving the balancer's list would help nobody. */
+    private boolean isReady() {
+        return frontDoor.ready() && (state.reachable() || peers.withState() == null);
+    }
+
+    private void report(Call call, Consumer<Answer> reply) {
+        if (leader != null) {
+            try {
+                leader.tell(new Leader.Reported(WorkerWire.report(Json.object(call.body())), reply));
+            } catch (InvalidMessage e) {
+                reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
+            }
+            return;
+        }
+        redirects++;
+        String known = deployment.node().equals(elector.leader()) ? null : elector.leader();
+        reply.accept(new Answer(421, Json.bytes(WorkerWire.redirect(known))));
+    }
+
+    private void peer(Call call, Consumer<Answer> reply) {
+        Object body = call.path().equals(PeerWire.PATH) ? PeerWire.body(call.body()) : null;
+        if (body instanceof Pulse pulse) {
+            peers.tell(new Peers.Heard(pulse));
+            reply.accept(new Answer(200, PeerWire.bytes(pulse())));
+        } else if (body instanceof Grant grant) {
+            reply.accept(new Answer(200, PeerWire.bytes(Placer.place(grant, deployment.node()))));
+        } else if (body instanceof Relay relay) {
+            byte[] content = relay.getContent().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            Call relayed = new Call(null, relay.getMethod(), relay.getPath(), content);
+            frontDoor.tell(new FrontDoor.Request(relayed, here(answer -> reply.accept(new Answer(200,
+                    PeerWire.bytes(new Relayed(answer.status(),
+                            new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8))))))));
+        } else {
+            reply.accept(new Answer(400, new byte[0]));
+        }
+    }
+
+    private Pulse pulse() {
+        return new Pulse(deployment.node(), elector.term(), elector.leader(), state.reachable(), redirects,
+                leader == null ? List.of() : leader.progress());
+    }
+
+    private void heard(Pulse pulse) {
+        elector.tell(new Elector.TermSeen(pulse.getTerm(), pulse.getLeader()));
+    }
+
+    private Progress progress(String job) {
+        if (leader != null) {
+            for (Progress progress : leader.progress()) {
+                if (progress.getJob().equals(job)) {
+                    return progress;
+                }
+            }
+            return null;
+        }
+        return peers.progress(job);
+    }
+
+    // ---- machine types: kept in the state service, so that a cloud that is down keeps nobody out ----
+
+    private void learnTypes() {
+        if (types == null) {
+            state.get(Records.TYPES, here(result -> {
+                if (types == null && result instanceof Ok<Entry> ok) {
+                    typesKnown(CloudApi.types(ok.value().value()));
+                }
+                if (types == null) {
+                    askCloud(RETRY_MS);
+                } else {
+                    after(TYPES_PERIOD_MS, this::learnTypes);
+                }
+            }));
+        } else if (leader != null) {
+            askCloud(TYPES_PERIOD_MS);
+        } else {
+            after(TYPES_PERIOD_MS, this::learnTypes);
+        }
+    }
+
+    private void askCloud(long againMs) {
+        cloud.types(here(known -> {
+            if (known != null) {
+                typesKnown(known);
+                state.commit(new StateApi.Transaction().put(Records.TYPES, CloudApi.typesJson(known)), result -> { });
+            }
+            after(types == null ? RETRY_MS : againMs, this::learnTypes);
+        }));
+    }
+
+    private void typesKnown(List<MachineType> known) {
+        if (known == null) {
+            return;
+        }
+        types = known;
+        frontDoor.tell(new FrontDoor.TypesKnown(known));
+        if (leader != null) {
+            leader.tell(new Leader.TypesKnown(known));
+        }
+    }
+
+    // ---- what the elector tells ----------------------------------------------------------------
+
+    @Override
+    public void elected(long term, long version, long claimUntil) {
+        leader = new Leader(loop, deployment, tuning, state, cloud, peers, leaderLeaseMs, term, version, claimUntil,
+                why -> elector.tell(new Elector.GiveWay(why)));
+        if (types != null) {
+            leader.tell(new Leader.TypesKnown(types));
+        }
+    }
+
+    @Override
+    public void claimRenewed(long claimUntil) {
+        leader.tell(new Leader.ClaimRenewed(claimUntil));
+    }
+
+    @Override
+    public void deposed() {
+        leader.tell(new Leader.Depose());
+        leader = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/app/Main.java
@@ -0,0 +1,88 @@
+package notchpick.app;
+
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Tuning;
+import notchpick.transport.Handler;
+import notchpick.transport.JettyCaller;
+import notchpick.transport.JettyServer;
+import notchpick.transport.SingleThreadLoop;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(name = "notchpick", mixinStandardHelpOptions = true, version = "notchpick 0.1.0",
+        description = "Runs one controller of a cluster scheduler, until it is killed.",
+        footer = {"", "Logs go to standard error; LOG_LEVEL is one of error, info (default), debug."})
+public final class Main implements Callable<Integer> {
+    private static final long CONNECT_TIMEOUT_MS = 1000;
+    private static final int CONNECTIONS_PER_TARGET = 16;
+    private static final int THREADS = 16;
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (JSON)")
+    private Path config;
+
+    @Option(names = "--tuning", paramLabel = "FILE", description = "the operators' own settings (JSON)")
+    private Path tuning;
+
+    @Option(names = "--check", description = "check the settings and end")
+    private boolean check;
+
+    /** Runs the command and ends the process if it has failed or has nothing more to do. */
+    public static void main(String[] args) {
+        String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
+        System.setProperty("org.slf4j.simpleLogger.log.org.eclipse.jetty", "error");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        int status = new CommandLine(new Main()).execute(args);
+        if (status >= 0) {
+            System.exit(status);
+        }
+    }
+
+    private static final int RUNNING = -1;
+
+    @Override
+    public Integer call() throws Exception {
+        Deployment deployment;
+        Tuning tuned;
+        try {
+            deployment = Settings.read(config);
+            tuned = tuning == null ? Tuning.DEFAULT : TuningFile.read(tuning);
+        } catch (Settings.Unusable e) {
+            System.err.println("notchpick: " + e.getMessage());
+            return 2;
+        }
+        if (check) {
+            return 0;
+        }
+        serve(deployment, tuned);
+        return RUNNING;
+    }
+
+    private static void serve(Deployment deployment, Tuning tuned) throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+        threads.setName("jetty");
+        threads.start();
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", false);
+        scheduler.start();
+        JettyCaller caller = new JettyCaller(threads, scheduler, CONNECTIONS_PER_TARGET, CONNECT_TIMEOUT_MS);
+        Controller controller = new Controller(new SingleThreadLoop(), deployment, tuned, caller, new Random());
+        Handler outside = controller::serve;
+        Handler peers = controller::servePeer;
+        JettyServer server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(),
+                Map.of(deployment.serveOn(), outside, deployment.peerBind(), peers), deployment.peerBind(),
+                (long) (deployment.workerLeaseS() * 4000));
+        controller.tell(new Controller.Begin());
+        server.start();
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/bookkeeping/Binding.java
@@ -0,0 +1,43 @@
+package notchpick.bookkeeping;
+
+import notchpick.scheduling.JobSpec;
+
+/** A task that is, or may be, on a machine. It holds its resources there until it surely is not. */
+public final class Binding {
+    /** How sure it is that the task is there. */
+    public enum Phase {
+        /** A former leader may have sent it there. */
+        HINTED,
+        /** Decided here; its order waits for the machine's record to be durable. */
+        PLANNED,
+        /** Its order is durable and may be sent. */
+        READY,
+        /** Its order has been sent. */
+        SENT,
+        /** The worker has reported it. */
+        SEEN
+    }
+
+    public final JobSpec spec;
+    public final int task;
+    public final Machine machine;
+    public long attempt;
+    public Phase phase;
+    public boolean running;
+    public boolean saving;
+    public long runningSince;
+    /** Null, or the time to save that goes with the order to stop. */
+    public Double stopGraceS;
+
+    public Binding(JobSpec spec, int task, Machine machine, long attempt, Phase phase) {
+        this.spec = spec;
+        this.task = task;
+        this.machine = machine;
+        this.attempt = attempt;
+        this.phase = phase;
+    }
+
+    public String taskName() {
+        return spec.id() + "/" + task;
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -0,0 +1,69 @@
+package notchpick.bookkeeping;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+import notchpick.scheduling.JobSpec;
+
+/** An open job. */
+public final class Job {
+    public final JobSpec spec;
+    /** Version of its durable record, which changes only when the job ends. */
+    public final long version;
+    public final BitSet done;
+    /** Those of the done tasks that the state service knows of. */
+    public final BitSet durable;
+    /** How many machines each unfinished task is, or may be, on. */
+    public final Map<Integer, Integer> bound = new HashMap<>();
+    /** Tasks that wait and may be started. */
+    public final BitSet pending;
+    /** Tasks in leased room. */
+    public final BitSet leased = new BitSet();
+    public int failures;
+    public long notBefore;
+    /** Since when its next task has been skipped for want of room; 0: not at all. */
+    public long skippedSince;
+    public int running;
+
+    public Job(JobSpec spec, long version) {
+        this.spec = spec;
+        this.version = version;
+        this.done = new BitSet(spec.tasks());
+        this.durable = new BitSet(spec.tasks());
+        this.pending = new BitSet(spec.tasks());
+        this.pending.set(0, spec.tasks());
+    }
+
+    public int unfinished() {
+        return spec.tasks() - done.cardinality();
+    }
+
+    public boolean isDone() {
+        return !spec.isService() && done.cardinality() == spec.tasks();
+    }
+
+    public boolean waits() {
+        return !pending.isEmpty();
+    }
+
+    public void bind(int task) {
+        bound.merge(task, 1, Integer::sum);
+        pending.clear(task);
+    }
+
+    public void unbind(int task) {
+        bound.computeIfPresent(task, (t, count) -> count == 1 ? null : count - 1);
+        if (!bound.containsKey(task) && !done.get(task) && task < spec.tasks()) {
+            pending.set(task);
+        }
+    }
+
+    public boolean finish(int task) {
+        if (task >= spec.tasks() || done.get(task) || spec.isService()) {
+            return false;
+        }
+        done.set(task);
+        pending.clear(task);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/bookkeeping/Ledger.java
@@ -0,0 +1,215 @@
+package notchpick.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Conflict;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.StateApi.Result;
+import notchpick.protocol.StateApi.Transaction;
+import notchpick.transport.EventLoop;
+
+/**
+ * The leader's writes. Every transaction is guarded on the leadership key, and every key in it on
+ * the version last known, so that a transaction that got no answer can't undo a later one when it is
+ * applied after all. One transaction is on its way at a time; changes gather meanwhile.
+ */
+public final class Ledger {
+    private static final long RETRY_MS = 200;
+
+    private final StateApi state;
+    private final EventLoop loop;
+    private final BiConsumer<Long, Runnable> timer;
+    private final long leaderVersion;
+    private final int maxWrites;
+    private final double writesPerMs;
+    private final Runnable deposed;
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, Change> waiting = new LinkedHashMap<>();
+    private boolean busy;
+    private double budget;
+    private long budgetAt;
+
+    /** What a change comes to when its turn has come. */
+    public record Prepared(List<Write> writes, Runnable durable, Runnable overtaken) {}
+
+    /** @param value null deletes the key. @param version what the key must have; null: as last known here */
+    public record Write(String key, JsonNode value, Long version, boolean guarded) {
+        public static Write put(String key, JsonNode value) {
+            return new Write(key, value, null, true);
+        }
+
+        public static Write delete(String key) {
+            return new Write(key, null, null, false);
+        }
+
+        public Write at(long expected) {
+            return new Write(key, value, expected, true);
+        }
+    }
+
+    /** Made when it is sent, so that it holds the newest. Null: there is nothing to write any more. */
+    public interface Change {
+        Prepared prepare();
+    }
+
+    /** @param timer runs something in the owner's turn after some milliseconds */
+    public Ledger(StateApi state, EventLoop loop, BiConsumer<Long, Runnable> timer, long leaderVersion,
+            int maxWrites, double writesPerS, Runnable deposed) {
+        this.state = state;
+        this.loop = loop;
+        this.timer = timer;
+        this.leaderVersion = leaderVersion;
+        this.maxWrites = maxWrites;
+        this.writesPerMs = writesPerS / 1000;
+        this.deposed = deposed;
+        this.budgetAt = loop.now();
+        this.budget = maxWrites;
+    }
+
+    /** Notes the version of a key that has been read. */
+    public void known(String key, long version) {
+        versions.put(key, version);
+    }
+
+    /** Writes this as soon as may be; a later change of the same name takes an unsent one's place. */
+    public void write(String name, Change change) {
+        waiting.put(name, change);
+        if (!busy) {
+            busy = true;
+            // Whatever else the current message brings shall go along.
+            timer.accept(0L, this::flush);
+        }
+    }
+
+    private record Sent(String name, Change change, Prepared prepared) {}
+
+    private void flush() {
+        long now = loop.now();
+        budget = Math.min(2.0 * maxWrites, budget + (now - budgetAt) * writesPerMs);
+        budgetAt = now;
+        if (waiting.isEmpty()) {
+            busy = false;
+            return;
+        }
+        if (budget < 1) {
+            timer.accept((long) Math.ceil((1 - budget) / writesPerMs), this::flush);
+            return;
+        }
+        Transaction transaction = new Transaction().guard(Records.LEADER, leaderVersion);
+        List<Sent> batch = new ArrayList<>();
+        int writes = 0;
+        Iterator<Map.Entry<String, Change>> items = waiting.entrySet().iterator();
+        while (items.hasNext()) {
+            Map.Entry<String, Change> item = items.next();
+            Prepared prepared = item.getValue().prepare();
+            if (prepared == null) {
+                items.remove();
+                continue;
+            }
+            if (writes > 0 && writes + prepared.writes().size() > maxWrites) {
+                break;
+            }
+            items.remove();
+            writes += prepared.writes().size();
+            batch.add(new Sent(item.getKey(), item.getValue(), prepared));
+            for (Write write : prepared.writes()) {
+                if (write.guarded()) {
+                    transaction.guard(write.key(), expected(write));
+                }
+                if (write.value() == null) {
+                    transaction.delete(write.key());
+                } else {
+                    transaction.put(write.key(), write.value());
+                }
+            }
+        }
+        if (batch.isEmpty()) {
+            busy = false;
+            return;
+        }
+        budget -= writes;
+        state.commit(transaction, inTurn(result -> committed(batch, result)));
+    }
+
+    private <T> Consumer<T> inTurn(Consumer<T> then) {
+        return value -> timer.accept(0L, () -> then.accept(value));
+    }
+
+    private long expected(Write write) {
+        return write.version() != null ? write.version() : versions.getOrDefault(write.key(), 0L);
+    }
+
+    private void committed(List<Sent> batch, Result<Long> result) {
+        if (result instanceof Ok<Long> ok) {
+            for (Sent sent : batch) {
+                for (Write write : sent.prepared().writes()) {
+                    if (write.value() == null) {
+                        versions.remove(write.key());
+                    } else {
+                        versions.put(write.key(), ok.value());
+                    }
+                }
+            }
+            batch.forEach(sent -> sent.prepared().durable().run());
+            flush();
+            return;
+        }
+        List<String> stale = result instanceof Conflict<Long> conflict ? conflict.keys() : List.of();
+        if (stale.contains(Records.LEADER)) {
+            deposed.run();
+            return;
+        }
+        List<String> reread = new ArrayList<>();
+        for (Sent sent : batch) {
+            boolean overtaken = false;
+            for (Write write : sent.prepared().writes()) {
+                if (stale.contains(write.key())) {
+                    if (write.version() != null) {
+                        overtaken = true;
+                    } else {
+                        reread.add(write.key());
+                    }
+                }
+            }
+            if (overtaken) {
+                sent.prepared().overtaken().run();
+            } else {
+                waiting.putIfAbsent(sent.name(), sent.change());
+            }
+        }
+        if (result instanceof Conflict<Long>) {
+            reread(reread, 0);
+        } else {
+            timer.accept(RETRY_MS, this::flush);
+        }
+    }
+
+    private void reread(List<String> keys, int index) {
+        if (index == keys.size()) {
+            flush();
+            return;
+        }
+        String key = keys.get(index);
+        state.get(key, inTurn(result -> {
+            if (result instanceof Ok<Entry> ok) {
+                versions.put(key, ok.value().version());
+            } else if (result instanceof Missing<Entry>) {
+                versions.remove(key);
+            } else {
+                timer.accept(RETRY_MS, () -> reread(keys, index));
+                return;
+            }
+            reread(keys, index + 1);
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -0,0 +1,82 @@
+package notchpick.coordination;
+
+import java.util.List;
+import java.util.Map;
+import notchpick.scheduling.Amounts;
+
+/** What the platform tells a controller of the deployment, and what follows from it. */
+public record Deployment(
+        String node,
+        String serveOn,
+        String peerBind,
+        List<Peer> peers,
+        String cloudAddress,
+        String stateAddress,
+        List<String> zones,
+        List<Limit> teams,
+        Map<String, Double> withinS,
+        double reportS,
+        double workerLeaseS,
+        double cancelS,
+        double stateRps,
+        double stateWriteRps,
+        int txnOps,
+        double cloudRps,
+        double listLagS,
+        int socketLimit) {
+
+    /** Another controller. */
+    public record Peer(String node, String address) {}
+
+    /** A team's guarantee and most; an amount of 0 stands for none. */
+    public record Limit(String team, Amounts guarantee, Amounts most) {
+        /** Whether the team may hold so much at once. */
+        public boolean allows(Amounts held) {
+            return (most.cores() <= 0 || held.cores() <= most.cores() + Amounts.SLACK)
+                    && (most.gpus() <= 0 || held.gpus() <= most.gpus() + Amounts.SLACK);
+        }
+
+        public boolean guarantees(Amounts held) {
+            return (guarantee.cores() > 0 || guarantee.gpus() > 0)
+                    && held.cores() <= guarantee.cores() + Amounts.SLACK
+                    && held.gpus() <= guarantee.gpus() + Amounts.SLACK;
+        }
+    }
+
+    /** Steady clocks differ by at most a twentieth of a percent each; this counts for both, amply. */
+    private static final double DRIFT = 0.002;
+
+    public int controllers() {
+        return peers.size() + 1;
+    }
+
+    public Limit limit(String team) {
+        for (Limit limit : teams) {
+            if (limit.team().equals(team)) {
+                return limit;
+            }
+        }
+        return null;
+    }
+
+    /** How long a lease of this length may surely be relied on, measured from before it was asked. */
+    public static long surelyHeldMs(double leaseMs) {
+        return (long) (leaseMs * (1 - DRIFT));
+    }
+
+    /** After so long a lease of this length has surely run out elsewhere. */
+    public static long surelyOverMs(double leaseMs) {
+        return (long) Math.ceil(leaseMs * (1 + DRIFT)) + 100;
+    }
+
+    /**
+     * How long a leader whose claim has lapsed may go on answering reports, without any order, so
+     * that work survives an outage of the state service. A job's cancellation may come right after
+     * the claim lapsed, elsewhere: even then the last answer, the worker's lease after it and two
+     * reports must fit into the time that a cancellation has.
+     */
+    public long graceMs(double leaderLeaseS) {
+        double graceS = Math.min(workerLeaseS / 2, cancelS - workerLeaseS - leaderLeaseS - 2 * reportS);
+        return (long) (1000 * Math.max(0, graceS));
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Elector.java
@@ -0,0 +1,215 @@
+package notchpick.coordination;
+
+import java.util.Random;
+import notchpick.bookkeeping.Records;
+import notchpick.protocol.Json;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Conflict;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.StateApi.Transaction;
+import notchpick.transport.Actor;
+import notchpick.transport.EventLoop;
+
+/**
+ * Stands for leadership and keeps it. The leadership key hangs on a lease of the state service; the
+ * term rises with every election in the same transaction.
+ */
+public final class Elector extends Actor<Elector.Message> {
+    /** What the elector is told. */
+    public sealed interface Message {}
+
+    public record Begin() implements Message {}
+
+    /** The leader can't do its work, or must not go on; somebody else should lead. */
+    public record GiveWay(String why) implements Message {}
+
+    /** Some controller knows of this term. */
+    public record TermSeen(long term, String leader) implements Message {}
+
+    /** What the elector tells. */
+    public interface Listener {
+        void elected(long term, long version, long claimUntil);
+
+        void claimRenewed(long claimUntil);
+
+        void deposed();
+    }
+
+    private final String node;
+    private final StateApi state;
+    private final Random random;
+    private final Listener listener;
+    private final long leaseMs;
+    private final long pollMs;
+
+    private boolean leading;
+    private long lease;
+    private long term;
+    private String leader;
+    private long standAsideUntil;
+    private long tenure;
+
+    public Elector(EventLoop loop, String node, StateApi state, Random random, long leaseMs, Listener listener) {
+        super(loop);
+        this.node = node;
+        this.state = state;
+        this.random = random;
+        this.leaseMs = leaseMs;
+        this.pollMs = leaseMs / 12;
+        this.listener = listener;
+    }
+
+    /** Who leads, as far as is known; null: nobody. */
+    public String leader() {
+        return leader;
+    }
+
+    public long term() {
+        return term;
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof Begin) {
+            look();
+        } else if (message instanceof GiveWay giveWay) {
+            if (leading) {
+                log.info("gives way: {}", giveWay.why());
+                standAsideUntil = loop.now() + 4 * leaseMs;
+                resign();
+            }
+        } else if (message instanceof TermSeen seen && seen.term() > term) {
+            // A leader that can't reach the state service learns here that its time is over.
+            term = seen.term();
+            leader = seen.leader();
+            if (leading) {
+                log.info("term {} has begun elsewhere", term);
+                resign();
+            }
+        }
+    }
+
+    private void resign() {
+        leading = false;
+        tenure++;
+        leader = node.equals(leader) ? null : leader;
+        listener.deposed();
+        state.endLease(lease, here(ended -> {}));
+        after(pollMs, this::look);
+    }
+
+    private void lookLater() {
+        after(pollMs + random.nextInt((int) pollMs), this::look);
+    }
+
+    private void look() {
+        if (leading) {
+            return;
+        }
+        state.get(Records.LEADER, here(result -> {
+            if (leading) {
+                return;
+            }
+            if (result instanceof Ok<Entry> ok) {
+                String holder = ok.value().value().path("node").asText();
+                long known = ok.value().value().path("term").asLong();
+                if (holder.equals(node)) {
+                    // Left by a former life of this controller, or by an election whose answer was lost.
+                    leader = null;
+                    state.endLease(ok.value().lease(), here(ended -> lookLater()));
+                    return;
+                }
+                if (known >= term) {
+                    term = known;
+                    leader = holder;
+                }
+                lookLater();
+            } else if (result instanceof Missing<Entry> && loop.now() >= standAsideUntil) {
+                stand();
+            } else {
+                if (result instanceof Missing<Entry>) {
+                    leader = null;
+                }
+                lookLater();
+            }
+        }));
+    }
+
+    private void stand() {
+        state.get(Records.TERM, here(result -> {
+            if (result instanceof Ok<Entry> ok) {
+                stand(ok.value().value().path("term").asLong(), ok.value().version());
+            } else if (result instanceof Missing<Entry>) {
+                stand(0, 0);
+            } else {
+                lookLater();
+            }
+        }));
+    }
+
+    private void stand(long formerTerm, long termVersion) {
+        long sentAt = loop.now();
+        state.grantLease(leaseMs, here(granted -> {
+            if (!(granted instanceof Ok<Long> ok)) {
+                lookLater();
+                return;
+            }
+            long newLease = ok.value();
+            long newTerm = formerTerm + 1;
+            Transaction transaction = new Transaction()
+                    .guard(Records.LEADER, 0)
+                    .guard(Records.TERM, termVersion)
+                    .put(Records.LEADER, Json.object().put("node", node).put("term", newTerm), newLease)
+                    .put(Records.TERM, Json.object().put("term", newTerm));
+            state.commit(transaction, here(result -> {
+                if (result instanceof Ok<Long> version) {
+                    leading = true;
+                    tenure++;
+                    lease = newLease;
+                    term = newTerm;
+                    leader = node;
+                    log.info("leads term {}", term);
+                    listener.elected(term, version.value(), sentAt + Deployment.surelyHeldMs(leaseMs));
+                    renewLater(tenure);
+                } else {
+                    // Without an answer the key may appear yet; then it goes with this lease.
+                    state.endLease(newLease, here(ended -> {}));
+                    if (result instanceof Conflict<Long>) {
+                        look();
+                    } else {
+                        lookLater();
+                    }
+                }
+            }));
+        }));
+    }
+
+    private void renewLater(long during) {
+        after(leaseMs / 5, () -> renew(during));
+    }
+
+    private void renew(long during) {
+        if (!leading || during != tenure) {
+            return;
+        }
+        long sentAt = loop.now();
+        state.renewLease(lease, here(result -> {
+            if (!leading || during != tenure) {
+                return;
+            }
+            if (result instanceof Ok<Boolean>) {
+                listener.claimRenewed(sentAt + Deployment.surelyHeldMs(leaseMs));
+            } else if (result instanceof Missing<Boolean>) {
+                log.info("lost the lease of term {}", term);
+                leading = false;
+                leader = null;
+                listener.deposed();
+                look();
+                return;
+            }
+            renewLater(during);
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -0,0 +1,293 @@
+package notchpick.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Job;
+import notchpick.bookkeeping.Ledger;
+import notchpick.bookkeeping.Ledger.Prepared;
+import notchpick.bookkeeping.Ledger.Write;
+import notchpick.bookkeeping.Machine;
+import notchpick.bookkeeping.Machine.Life;
+import notchpick.bookkeeping.Records;
+import notchpick.bookkeeping.Roster;
+import notchpick.protocol.CloudApi;
+import notchpick.protocol.CloudApi.Listed;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Estimates;
+import notchpick.scheduling.FleetPlan;
+import notchpick.scheduling.FleetPlan.Need;
+import notchpick.scheduling.FleetPlan.Owned;
+import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.scheduling.JobOrder;
+import notchpick.scheduling.JobOrder.Waiting;
+import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's dealings with the cloud: what is rented, what is returned, what is listed. */
+final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+    private final EventLoop loop;
+    private final Deployment deployment;
+    private final Roster roster;
+    private final Estimates estimates;
+    private final CloudApi cloud;
+    private final Ledger ledger;
+    private final String requestPrefix;
+    private final Consumer<Machine> gone;
+    private final BiConsumer<Long, Runnable> timer;
+
+    private final Map<String, MachineType> types = new LinkedHashMap<>();
+    private final Map<Pool, Long> refusedUntil = new HashMap<>();
+    private final Map<Pool, Integer> asked = new HashMap<>();
+    /** Released for good; a late report must not bring one back. */
+    private final Set<String> released = new HashSet<>();
+    private long lastRequest;
+    private boolean releasing;
+
+    /** @param gone hears of machines of which it is sure that nothing is on them any more */
+    Fleet(EventLoop loop, Deployment deployment, Roster roster, Estimates estimates, CloudApi cloud, Ledger ledger,
+            long term, Consumer<Machine> gone, BiConsumer<Long, Runnable> timer) {
+        this.loop = loop;
+        this.deployment = deployment;
+        this.roster = roster;
+        this.estimates = estimates;
+        this.cloud = cloud;
+        this.ledger = ledger;
+        // The term belongs to one controller and one of its lives, so the names are never used again.
+        this.requestPrefix = deployment.node() + "-" + term + "-";
+        this.gone = gone;
+        this.timer = timer;
+    }
+
+    void typesKnown(List<MachineType> known) {
+        known.forEach(type -> types.put(type.name(), type));
+    }
+
+    Amounts size(String type) {
+        MachineType known = types.get(type);
+        return known == null ? Amounts.NONE : known.size();
+    }
+
+    private double bootMs(String type) {
+        MachineType known = types.get(type);
+        return known == null ? 60_000 : known.bootS() * 1000;
+    }
+
+    boolean wasReleased(String machine) {
+        return released.contains(machine);
+    }
+
+    /** One look at what is needed and what there is. */
+    void review() {
+        long now = loop.now();
+        List<Need> needs = needs();
+        List<Owned> owned = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            if (machine.life == Life.BOOTING || machine.life == Life.UP && machine.noticeS == null) {
+                owned.add(new Owned(machine.name, machine.pool, machine.size, machine.isIdle()));
+            }
+        }
+        double bootS = types.values().stream().mapToDouble(MachineType::bootS).max().orElse(0);
+        FleetPlan.Plan plan = FleetPlan.plan(needs, owned, types, 2 * bootS,
+                pool -> refusedUntil.getOrDefault(pool, 0L) > now);
+        plan.rent().forEach((pool, count) -> {
+            if (!asked.containsKey(pool)) {
+                rent(pool, Math.min(count, CloudApi.MAX_RENT));
+            }
+        });
+        for (Machine machine : roster.machines.values()) {
+            retire(machine, plan.unneeded().contains(machine.name), now);
+        }
+        release();
+    }
+
+    private List<Need> needs() {
+        List<Waiting> order = new ArrayList<>();
+        Map<JobSpec, Job> jobs = new HashMap<>();
+        for (Job job : roster.jobs.values()) {
+            double runS = estimates.runS(job.spec);
+            order.add(new Waiting(job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
+            jobs.put(job.spec, job);
+        }
+        order.sort(JobOrder.at(loop.wallTime(), deployment.withinS(), 1));
+        Map<String, Amounts> byTeam = new HashMap<>();
+        List<Need> needs = new ArrayList<>();
+        for (Waiting waiting : order) {
+            JobSpec spec = waiting.spec();
+            int tasks = jobs.get(spec).unfinished();
+            Deployment.Limit limit = deployment.limit(spec.team());
+            Amounts before = byTeam.getOrDefault(spec.team(), Amounts.NONE);
+            if (limit != null && limit.most().cores() > 0 && spec.demand().cores() > 0) {
+                // What the team may not run at once needs no machines.
+                double room = limit.most().cores() - before.cores();
+                tasks = Math.min(tasks, (int) Math.max(0, room / spec.demand().cores()));
+            }
+            if (tasks > 0) {
+                byTeam.merge(spec.team(), spec.demand().times(tasks), Amounts::plus);
+                boolean pressed = spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
+                needs.add(new Need(spec, tasks, waiting.runS(), pressed));
+            }
+        }
+        return needs;
+    }
+
+    private void rent(Pool pool, int count) {
+        String request = requestPrefix + ++lastRequest;
+        asked.put(pool, count);
+        rent(request, pool, count, 3);
+    }
+
+    private void rent(String request, Pool pool, int count, int tries) {
+        cloud.rent(request, pool.type(), pool.zone(), pool.spot(), count, result -> timer.accept(0L, () -> {
+            long now = loop.now();
+            if (result == null && tries > 1) {
+                // The same name again: if the first did rent, this tells what.
+                timer.accept(1000L, () -> rent(request, pool, count, tries - 1));
+                return;
+            }
+            asked.remove(pool);
+            if (result == null) {
+                return;
+            }
+            if (result.refused() || result.machines().size() < count) {
+                refusedUntil.put(pool, now + (long) (bootMs(pool.type()) * 0.7));
+            }
+            LOG.info("rented {} of {} {} in {}{}", result.machines().size(), count, pool.type(), pool.zone(),
+                    pool.spot() ? " (spot)" : "");
+            for (String name : result.machines()) {
+                roster.machines.computeIfAbsent(name, n -> new Machine(n, pool, size(pool.type()), now));
+            }
+        }));
+    }
+
+    /** Moves a machine on towards its release where there is a reason to. */
+    private void retire(Machine machine, boolean unneeded, long now) {
+        double reportMs = deployment.reportS() * 1000;
+        switch (machine.life) {
+            case BOOTING -> {
+                if (now - machine.knownSince > 2.5 * bootMs(machine.type()) + 3 * reportMs) {
+                    LOG.info("machine {} never came up", machine.name);
+                    machine.life = Life.RELEASED;
+                }
+            }
+            case UP -> {
+                if (machine.isIdle() && unneeded && now - machine.idleSince > 2 * reportMs) {
+                    machine.life = Life.RELEASED;
+                } else if (now - machine.reportedAt > deployment.workerLeaseS() * 500 && !mostAreSilent(now)) {
+                    LOG.info("machine {} is silent", machine.name);
+                    machine.life = Life.RELEASED;
+                }
+            }
+            case LEAVING -> {
+                if (machine.isIdle() || now - machine.reportedAt > deployment.workerLeaseS() * 500) {
+                    machine.life = Life.RELEASED;
+                }
+            }
+            case RELEASED -> { }
+        }
+        if (machine.life == Life.RELEASED && !machine.releaseDurable) {
+            saveReleased(machine);
+        }
+    }
+
+    /** If so, it is this controller that is out of reach rather than they. */
+    private boolean mostAreSilent(long now) {
+        int up = 0;
+        int silent = 0;
+        for (Machine machine : roster.machines.values()) {
+            if (machine.life == Life.UP) {
+                up++;
+                silent += now - machine.reportedAt > deployment.workerLeaseS() * 400 ? 1 : 0;
+            }
+        }
+        return silent > 3 && silent * 2 > up;
+    }
+
+    private void saveReleased(Machine machine) {
+        ledger.write(Records.MACHINE + machine.name, () -> new Prepared(
+                List.of(Write.put(Records.MACHINE + machine.name, Records.machine(machine))),
+                () -> {
+                    machine.recorded = true;
+                    machine.releaseDurable = true;
+                    release();
+                },
+                () -> { }));
+    }
+
+    /** Asks for the release of what is marked as released durably; again until it is confirmed. */
+    private void release() {
+        if (releasing) {
+            return;
+        }
+        List<String> names = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            if (machine.releaseDurable && names.size() < CloudApi.MAX_RELEASE) {
+                names.add(machine.name);
+            }
+        }
+        if (names.isEmpty()) {
+            return;
+        }
+        releasing = true;
+        cloud.release(names, confirmed -> timer.accept(0L, () -> {
+            releasing = false;
+            if (!confirmed) {
+                return;
+            }
+            LOG.info("released {}", names);
+            for (String name : names) {
+                Machine machine = roster.machines.get(name);
+                released.add(name);
+                gone.accept(machine);
+                roster.machines.remove(name);
+                ledger.write(Records.MACHINE + name, () -> new Prepared(
+                        List.of(Write.delete(Records.MACHINE + name)), () -> { }, () -> { }));
+            }
+        }));
+    }
+
+    /** Reads the whole list; machines that nobody knew are taken on. */
+    void list() {
+        list(null);
+    }
+
+    private void list(String after) {
+        cloud.list(after, page -> timer.accept(0L, () -> {
+            if (page == null) {
+                return;
+            }
+            page.machines().forEach(this::listed);
+            if (page.more() && !page.machines().isEmpty()) {
+                list(page.machines().get(page.machines().size() - 1).machine());
+            }
+        }));
+    }
+
+    private void listed(Listed listed) {
+        if (released.contains(listed.machine())) {
+            return;
+        }
+        long now = loop.now();
+        Machine machine = roster.machines.computeIfAbsent(listed.machine(), name -> {
+            Pool pool = new Pool(listed.type(), listed.zone(), listed.spot());
+            Machine found = new Machine(name, pool, size(listed.type()), now);
+            found.knownSince = now - (long) (listed.ageS() * 1000);
+            return found;
+        });
+        if (listed.state() == CloudApi.ListedState.FAILED && machine.life != Life.RELEASED) {
+            LOG.info("machine {} has failed", machine.name);
+            machine.life = Life.RELEASED;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/FrontDoor.java
@@ -0,0 +1,263 @@
+package notchpick.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import notchpick.bookkeeping.Records;
+import notchpick.bookkeeping.Records.Fate;
+import notchpick.bookkeeping.Records.JobRecord;
+import notchpick.protocol.InvalidMessage;
+import notchpick.protocol.Json;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Conflict;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.StateApi.Transaction;
+import notchpick.protocol.UserWire;
+import notchpick.protocol.peer.Progress;
+import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.Actor;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import notchpick.transport.EventLoop;
+
+/**
+ * Answers users, at every controller alike: what has been accepted, cancelled or done is read from
+ * and written to the state service directly, never taken from a copy that may lag.
+ */
+public final class FrontDoor extends Actor<FrontDoor.Message> {
+    /** What this actor is told. */
+    public sealed interface Message {}
+
+    public record Request(Call call, Consumer<Answer> reply) implements Message {}
+
+    public record TypesKnown(List<MachineType> types) implements Message {}
+
+    private static final int KEPT_FATES = 20_000;
+    private static final int RETRY_AFTER_S = 1;
+
+    private final Deployment deployment;
+    private final StateApi state;
+    private final Function<String, Progress> progress;
+    private List<MachineType> types;
+    /** Jobs that are over; they stay as they are, so a copy can't be too old. */
+    private final Map<String, JobRecord> over = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, JobRecord> eldest) {
+            return size() > KEPT_FATES;
+        }
+    };
+
+    public FrontDoor(EventLoop loop, Deployment deployment, StateApi state, Function<String, Progress> progress) {
+        super(loop);
+        this.deployment = deployment;
+        this.state = state;
+        this.progress = progress;
+    }
+
+    public boolean ready() {
+        return types != null;
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof TypesKnown known) {
+            types = known.types();
+        } else if (message instanceof Request request) {
+            serve(request.call(), request.reply());
+        }
+    }
+
+    private void serve(Call call, Consumer<Answer> reply) {
+        String path = call.path().split("\\?", 2)[0];
+        String[] parts = path.split("/", -1);
+        boolean post = call.method().equals("POST");
+        if (parts.length == 2 && parts[1].equals("submissions")) {
+            if (post) {
+                submit(call.body(), reply);
+            } else {
+                reply.accept(error(405, "only POST is served here"));
+            }
+        } else if (parts.length == 3 && parts[1].equals("submissions")) {
+            if (call.method().equals("GET")) {
+                poll(parts[2], reply);
+            } else {
+                reply.accept(error(405, "only GET is served here"));
+            }
+        } else if (parts.length == 4 && parts[1].equals("submissions") && parts[3].equals("abort")) {
+            if (post) {
+                cancel(parts[2], reply, 3);
+            } else {
+                reply.accept(error(405, "only POST is served here"));
+            }
+        } else {
+            reply.accept(error(404, "no such path"));
+        }
+    }
+
+    private void submit(byte[] bytes, Consumer<Answer> reply) {
+        ObjectNode body = Json.object(bytes);
+        String id;
+        try {
+            if (body == null) {
+                throw new InvalidMessage("the body must be a JSON object");
+            }
+            id = UserWire.jobId(body);
+        } catch (InvalidMessage e) {
+            reply.accept(error(400, e.getMessage()));
+            return;
+        }
+        JobRecord known = over.get(id);
+        if (known != null) {
+            reply.accept(status(id, known));
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = UserWire.submission(body, loop.wallTime());
+        } catch (InvalidMessage e) {
+            unlessKnown(id, error(400, e.getMessage()), reply);
+            return;
+        }
+        if (types == null) {
+            unlessKnown(id, later("the machine types are not known yet"), reply);
+            return;
+        }
+        String obstacle = obstacle(spec);
+        if (obstacle != null) {
+            unlessKnown(id, error(422, obstacle), reply);
+            return;
+        }
+        Transaction transaction = new Transaction()
+                .guard(Records.JOB + id, 0)
+                .put(Records.JOB + id, Records.job(new JobRecord(Fate.OPEN, spec.tasks(), 0)))
+                .put(Records.OPEN + id, Records.spec(spec));
+        state.commit(transaction, here(result -> {
+            if (result instanceof Ok<Long>) {
+                log.info("job {} accepted: {} tasks of {}", id, spec.tasks(), spec.team());
+                reply.accept(new Answer(201, Json.bytes(UserWire.status(id, "queued"))));
+            } else if (result instanceof Conflict<Long>) {
+                poll(id, reply);
+            } else {
+                reply.accept(later("the state service does not answer"));
+            }
+        }));
+    }
+
+    /** Why the job can never run, or null. */
+    private String obstacle(JobSpec spec) {
+        Deployment.Limit limit = deployment.limit(spec.team());
+        if (limit == null) {
+            return "unknown team";
+        }
+        if (!limit.allows(spec.demand().times(spec.isService() ? spec.tasks() : 1))) {
+            return "more than the team's limit";
+        }
+        for (MachineType type : types) {
+            if (spec.allowsType(type.name()) && spec.demand().fitsIn(type.size())
+                    && (spec.zone() == null || type.zones().contains(spec.zone()))) {
+                return null;
+            }
+        }
+        return "a task fits no allowed machine type";
+    }
+
+    private void unlessKnown(String id, Answer otherwise, Consumer<Answer> reply) {
+        read(id, reply, entry -> reply.accept(entry == null ? otherwise : status(id, Records.job(entry.value()))));
+    }
+
+    private void poll(String id, Consumer<Answer> reply) {
+        if (!UserWire.isJobId(id)) {
+            reply.accept(error(404, "no such job"));
+            return;
+        }
+        JobRecord known = over.get(id);
+        if (known != null) {
+            reply.accept(status(id, known));
+            return;
+        }
+        unlessKnown(id, error(404, "no such job"), reply);
+    }
+
+    private void cancel(String id, Consumer<Answer> reply, int tries) {
+        if (!UserWire.isJobId(id)) {
+            reply.accept(error(404, "no such job"));
+            return;
+        }
+        read(id, reply, entry -> {
+            if (entry == null) {
+                reply.accept(error(404, "no such job"));
+                return;
+            }
+            JobRecord job = Records.job(entry.value());
+            if (job.fate() != Fate.OPEN) {
+                reply.accept(new Answer(200, Json.bytes(UserWire.status(id, word(job.fate())))));
+                return;
+            }
+            JobRecord cancelled = new JobRecord(Fate.CANCELLED, job.tasks(), job.done());
+            Transaction transaction = new Transaction()
+                    .guard(Records.JOB + id, entry.version())
+                    .put(Records.JOB + id, Records.job(cancelled))
+                    .delete(Records.OPEN + id);
+            state.commit(transaction, here(result -> {
+                if (result instanceof Ok<Long>) {
+                    log.info("job {} cancelled", id);
+                    over.put(id, cancelled);
+                    reply.accept(new Answer(200, Json.bytes(UserWire.status(id, "cancelled"))));
+                } else if (result instanceof Conflict<Long> && tries > 1) {
+                    cancel(id, reply, tries - 1);
+                } else {
+                    reply.accept(later("the state service does not answer"));
+                }
+            }));
+        });
+    }
+
+    /** Reads a job's record; gives null if there surely is none, answers 503 if it can't be told. */
+    private void read(String id, Consumer<Answer> reply, Consumer<Entry> then) {
+        state.get(Records.JOB + id, here(result -> {
+            if (result instanceof Ok<Entry> ok) {
+                JobRecord job = Records.job(ok.value().value());
+                if (job.fate() != Fate.OPEN) {
+                    over.put(id, job);
+                }
+                then.accept(ok.value());
+            } else if (result instanceof Missing<Entry>) {
+                then.accept(null);
+            } else {
+                reply.accept(later("the state service does not answer"));
+            }
+        }));
+    }
+
+    private Answer status(String id, JobRecord job) {
+        if (job.fate() != Fate.OPEN) {
+            return new Answer(200, Json.bytes(UserWire.status(id, word(job.fate()), job.done(), 0)));
+        }
+        Progress shown = progress.apply(id);
+        int done = shown == null ? 0 : shown.getDone();
+        int running = shown == null ? 0 : shown.getRunning();
+        return new Answer(200, Json.bytes(UserWire.status(id, running > 0 ? "running" : "queued", done, running)));
+    }
+
+    private static String word(Fate fate) {
+        return fate == Fate.DONE ? "done" : "cancelled";
+    }
+
+    private static Answer error(int status, String message) {
+        JsonNode body = UserWire.error(message);
+        return new Answer(status, Json.bytes(body));
+    }
+
+    private static Answer later(String message) {
+        return new Answer(503, Json.bytes(UserWire.error(message)), RETRY_AFTER_S);
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -0,0 +1,396 @@
+package notchpick.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Binding;
+import notchpick.bookkeeping.Job;
+import notchpick.bookkeeping.Machine;
+import notchpick.bookkeeping.Roster;
+import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.Placed;
+import notchpick.protocol.peer.Placements;
+import notchpick.protocol.peer.Room;
+import notchpick.protocol.peer.Want;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Estimates;
+import notchpick.scheduling.JobOrder;
+import notchpick.scheduling.JobOrder.Waiting;
+import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.Packing;
+import notchpick.scheduling.Sdrf;
+import notchpick.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's side of sharing: ranks the teams, grants room to the lowest while its next task fits,
+ * leases the room to the controller that holds the team's jobs, and takes placements back.
+ */
+final class Granting {
+    private static final Logger LOG = LoggerFactory.getLogger(Granting.class);
+    /** Lease numbers carry the term above this many bits, so that they rise over all terms. */
+    private static final int LEASE_BITS = 24;
+
+    private final EventLoop loop;
+    private final Deployment deployment;
+    private final Tuning tuning;
+    private final Roster roster;
+    private final Estimates estimates;
+    private final Peers peers;
+    private final long term;
+    private final Consumer<Binding> bound;
+    private final Runnable changed;
+    private final BiConsumer<Long, Runnable> timer;
+
+    private final Map<String, Amounts> commitments = new HashMap<>();
+    private final Map<String, Amounts> overuse = new HashMap<>();
+    private final Map<Long, Leased> leases = new HashMap<>();
+    private final Map<String, Long> distrustedUntil = new HashMap<>();
+    private long updatedAt;
+    private long lastLease;
+
+    /** Room that is leased to the holder of a team's jobs. */
+    private static final class Leased {
+        private final long number;
+        private final String team;
+        private final String holder;
+        private final Map<Machine, Amounts> room = new LinkedHashMap<>();
+        private final Map<Job, List<Integer>> tasks = new LinkedHashMap<>();
+
+        Leased(long number, String team, String holder) {
+            this.number = number;
+            this.team = team;
+            this.holder = holder;
+        }
+    }
+
+    /** @param bound hears of every task that has been placed; changed, that room is free again */
+    Granting(EventLoop loop, Deployment deployment, Tuning tuning, Roster roster, Estimates estimates, Peers peers,
+            long term, Consumer<Binding> bound, Runnable changed, BiConsumer<Long, Runnable> timer) {
+        this.loop = loop;
+        this.deployment = deployment;
+        this.tuning = tuning;
+        this.roster = roster;
+        this.estimates = estimates;
+        this.peers = peers;
+        this.term = term;
+        this.bound = bound;
+        this.changed = changed;
+        this.timer = timer;
+        this.lastLease = term << LEASE_BITS;
+        this.updatedAt = loop.now();
+    }
+
+    Map<String, Amounts> commitments() {
+        return commitments;
+    }
+
+    /** Equation 12 over the time since the last update, in which nothing changed. */
+    private void updateCommitments(Set<String> present, Amounts total) {
+        long now = loop.now();
+        double elapsedS = (now - updatedAt) / 1000.0;
+        updatedAt = now;
+        Set<String> teams = new HashSet<>(commitments.keySet());
+        teams.addAll(present);
+        for (String team : teams) {
+            Amounts before = commitments.getOrDefault(team, Amounts.NONE);
+            Amounts over = overuse.getOrDefault(team, Amounts.NONE);
+            commitments.put(team, Sdrf.commitment(before, over, elapsedS, tuning.tauS()));
+            overuse.put(team, Sdrf.overuse(Sdrf.share(roster.use(team), total), present.size()));
+        }
+    }
+
+    /** One team's part in a round. */
+    private final class Turn {
+        private final String team;
+        private final List<Job> jobs;
+        private final Leased leased;
+        private Amounts held;
+
+        Turn(String team, List<Job> jobs, Leased leased) {
+            this.team = team;
+            this.jobs = jobs;
+            this.leased = leased;
+            this.held = roster.use(team);
+        }
+
+        private double rank(Amounts total) {
+            return Sdrf.rank(Sdrf.share(held, total), commitments.getOrDefault(team, Amounts.NONE));
+        }
+
+        /** Ours: a team that stays within its guarantee does not wait for others. */
+        private int group() {
+            Deployment.Limit limit = deployment.limit(team);
+            return limit != null && !jobs.isEmpty() && limit.guarantees(held.plus(jobs.get(0).spec.demand())) ? 0 : 1;
+        }
+    }
+
+    /** Algorithm 1, with our additions: see docs/design.md. */
+    void round() {
+        Amounts total = roster.total();
+        Map<String, List<Job>> waiting = new HashMap<>();
+        Set<String> present = new HashSet<>();
+        long now = loop.now();
+        for (Job job : roster.jobs.values()) {
+            present.add(job.spec.team());
+            if (job.waits() && job.notBefore <= now) {
+                waiting.computeIfAbsent(job.spec.team(), team -> new ArrayList<>()).add(job);
+            }
+        }
+        updateCommitments(present, total);
+        leases.values().forEach(leased -> waiting.remove(leased.team));
+        List<Machine> open = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            if (usable(machine, now) && machine.room().cores() > Amounts.SLACK) {
+                open.add(machine);
+            }
+        }
+        if (open.isEmpty() || waiting.isEmpty()) {
+            return;
+        }
+        List<Turn> active = new ArrayList<>();
+        waiting.forEach((team, jobs) -> {
+            List<Waiting> order = new ArrayList<>();
+            Map<JobSpec, Job> bySpec = new HashMap<>();
+            for (Job job : jobs) {
+                double runS = estimates.runS(job.spec);
+                order.add(new Waiting(job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
+                bySpec.put(job.spec, job);
+            }
+            order.sort(JobOrder.at(loop.wallTime(), deployment.withinS(), total.cores()));
+            List<Job> sorted = new ArrayList<>();
+            order.forEach(w -> sorted.add(bySpec.get(w.spec())));
+            active.add(new Turn(team, sorted, new Leased(++lastLease, team, holder(team))));
+        });
+        List<Turn> turns = List.copyOf(active);
+        Map<Machine, Turn> barred = new HashMap<>();
+        while (!active.isEmpty()) {
+            Turn turn = active.stream()
+                    .min(Comparator.<Turn>comparingInt(Turn::group).thenComparingDouble(t -> t.rank(total))
+                            .thenComparing(t -> t.team))
+                    .orElseThrow();
+            if (!grantOne(turn, open, barred, now)) {
+                active.remove(turn);
+            }
+        }
+        turns.forEach(turn -> lease(turn.leased));
+    }
+
+    boolean usable(Machine machine, long now) {
+        return machine.life == Machine.Life.UP && machine.settled && machine.noticeS == null
+                && machine.quarantinedUntil <= now
+                // A machine that has missed reports may be gone; what is started there would only wait.
+                && now - machine.reportedAt < deployment.reportS() * 1000 * 2;
+    }
+
+    /** Grants room to the team's next task that fits; false if none does. */
+    private boolean grantOne(Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
+        Deployment.Limit limit = deployment.limit(turn.team);
+        for (int i = 0; i < turn.jobs.size();) {
+            Job job = turn.jobs.get(i);
+            if (job.pending.isEmpty()) {
+                turn.jobs.remove(i);
+                continue;
+            }
+            Amounts demand = job.spec.demand();
+            if (limit != null && !limit.allows(turn.held.plus(demand))) {
+                turn.jobs.remove(i);
+                continue;
+            }
+            Map<String, Integer> zones = constrained(job.spec) ? zonesOf(job, turn.leased) : Map.of();
+            Machine machine = Packing.choose(open, job.spec,
+                    m -> zoneAllows(job.spec, zones, m.zone())
+                            && !m.failedJobs.contains(job.spec.id())
+                            && (barred.get(m) == null || barred.get(m) == turn));
+            if (machine == null) {
+                skip(job, turn, open, barred, now);
+                turn.jobs.remove(i);
+                continue;
+            }
+            job.skippedSince = 0;
+            int task = job.pending.nextSetBit(0);
+            job.pending.clear(task);
+            job.leased.set(task);
+            machine.leased = machine.leased.plus(demand);
+            turn.leased.room.merge(machine, demand, Amounts::plus);
+            turn.leased.tasks.computeIfAbsent(job, j -> new ArrayList<>()).add(task);
+            turn.held = turn.held.plus(demand);
+            return true;
+        }
+        return false;
+    }
+
+    /** The barring wait: who has been skipped for long keeps others from the room nearest to enough. */
+    private void skip(Job job, Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
+        if (job.skippedSince == 0) {
+            job.skippedSince = now;
+            return;
+        }
+        if (now - job.skippedSince < tuning.barringS() * 1000 || barred.containsValue(turn)) {
+            return;
+        }
+        open.stream()
+                .filter(m -> barred.get(m) == null && job.spec.demand().fitsIn(m.size)
+                        && job.spec.allows(m.type(), m.zone(), m.spot()))
+                .max(Comparator.comparingDouble(m -> m.room().cores()))
+                .ifPresent(m -> {
+                    barred.put(m, turn);
+                    // Within the team too: what comes after this job must leave that room alone.
+                    open.remove(m);
+                });
+    }
+
+    private static boolean constrained(JobSpec spec) {
+        return spec.oneZone() || spec.spread();
+    }
+
+    private Map<String, Integer> zonesOf(Job job, Leased leased) {
+        Map<String, Integer> zones = roster.zonesOf(job.spec.id());
+        if (leased != null && leased.tasks.containsKey(job)) {
+            // While a round runs, where its tasks will go is not settled: count the room as taken.
+            leased.room.keySet().forEach(machine -> zones.merge(machine.zone(), 1, Integer::sum));
+        }
+        return zones;
+    }
+
+    private static boolean zoneAllows(JobSpec spec, Map<String, Integer> zones, String zone) {
+        if (spec.oneZone() && !zones.isEmpty() && !zones.containsKey(zone)) {
+            return false;
+        }
+        return !spec.spread() || zones.getOrDefault(zone, 0) < spec.zoneLimit();
+    }
+
+    /** Teams are parted among the live controllers in turn, beginning with the leader. */
+    private String holder(String team) {
+        List<String> nodes = new ArrayList<>();
+        nodes.add(deployment.node());
+        for (String node : peers.live()) {
+            if (distrustedUntil.getOrDefault(node, 0L) <= loop.now()) {
+                nodes.add(node);
+            }
+        }
+        List<String> teams = deployment.teams().stream().map(Deployment.Limit::team).sorted().toList();
+        return nodes.get(Math.floorMod(teams.indexOf(team), nodes.size()));
+    }
+
+    private void lease(Leased leased) {
+        if (leased.tasks.isEmpty()) {
+            return;
+        }
+        leases.put(leased.number, leased);
+        Grant grant = grant(leased);
+        timer.accept(tuning.roomLeaseMs(), () -> lapse(leased));
+        if (leased.holder.equals(deployment.node())) {
+            returned(Placer.place(grant, leased.holder));
+            return;
+        }
+        peers.ask(leased.holder, grant, tuning.roomLeaseMs(), reply -> {
+            if (reply instanceof Placements placements) {
+                timer.accept(0L, () -> returned(placements));
+            }
+        });
+    }
+
+    private Grant grant(Leased leased) {
+        List<Room> rooms = new ArrayList<>();
+        leased.room.forEach((machine, room) -> rooms.add(new Room(machine.name, machine.type(), machine.zone(),
+                machine.spot(), room.cores(), room.gpus(), room.ram(), List.copyOf(machine.images))));
+        List<Want> wants = new ArrayList<>();
+        leased.tasks.forEach((job, tasks) -> {
+            JobSpec spec = job.spec;
+            Map<String, Integer> zoneRoom = new HashMap<>();
+            if (spec.spread()) {
+                Map<String, Integer> taken = roster.zonesOf(spec.id());
+                deployment.zones().forEach(
+                        zone -> zoneRoom.put(zone, spec.zoneLimit() - taken.getOrDefault(zone, 0)));
+            }
+            String zone = spec.oneZone() ? leased.room.keySet().iterator().next().zone() : spec.zone();
+            wants.add(new Want(spec.id(), spec.demand().cores(), spec.demand().gpus(), spec.demand().ram(),
+                    spec.image(), spec.types(), zone, spec.spot(), zoneRoom, tasks));
+        });
+        return new Grant(term, leased.number, leased.team, tuning.roomLeaseMs(), rooms, wants);
+    }
+
+    /** The holder did not answer in time: its lease is over, and others hold its teams for a while. */
+    private void lapse(Leased leased) {
+        if (leases.containsKey(leased.number)) {
+            LOG.info("room lease {} of {} lapsed at {}", leased.number, leased.team, leased.holder);
+            distrustedUntil.put(leased.holder, loop.now() + (long) (deployment.reportS() * 2000));
+            giveBack(leased);
+            changed.run();
+        }
+    }
+
+    private void giveBack(Leased leased) {
+        leases.remove(leased.number);
+        leased.room.forEach((machine, room) -> {
+            machine.leased = machine.leased.minus(room);
+            if (machine.leased.cores() < Amounts.SLACK && machine.leased.ram() < Amounts.SLACK) {
+                machine.leased = Amounts.NONE;
+            }
+        });
+        leased.tasks.forEach((job, tasks) -> tasks.forEach(task -> {
+            job.leased.clear(task);
+            if (!job.done.get(task) && !job.bound.containsKey(task)) {
+                job.pending.set(task);
+            }
+        }));
+    }
+
+    /** Takes what a holder placed, as far as its lease is current and covers it. */
+    void returned(Placements placements) {
+        Leased leased = leases.get(placements.getLease());
+        if (leased == null || placements.getTerm() != term || !leased.holder.equals(placements.getNode())) {
+            LOG.info("placements of {} under lease {} are not entitled", placements.getNode(), placements.getLease());
+            return;
+        }
+        giveBack(leased);
+        Map<Machine, Amounts> left = new HashMap<>(leased.room);
+        long now = loop.now();
+        int accepted = 0;
+        for (Placed placed : placements.getPlaced()) {
+            Job job = roster.jobs.get(placed.getJob());
+            Machine machine = roster.machines.get(placed.getMachine());
+            int task = placed.getTask();
+            if (job == null || machine == null || !left.containsKey(machine)
+                    || !leased.tasks.getOrDefault(job, List.of()).contains(task)
+                    || !job.pending.get(task)
+                    || !job.spec.demand().fitsIn(left.get(machine))
+                    || !admissible(job, machine, now)) {
+                continue;
+            }
+            left.merge(machine, job.spec.demand(), Amounts::minus);
+            bound.accept(roster.bind(job.spec, task, machine, leased.number, Binding.Phase.PLANNED));
+            accepted++;
+        }
+        if (accepted < placements.getPlaced().size()) {
+            LOG.info("{} of {} placements refused", placements.getPlaced().size() - accepted,
+                    placements.getPlaced().size());
+        }
+        changed.run();
+    }
+
+    /** All that the rules ask of a start, at the moment of the decision. */
+    private boolean admissible(Job job, Machine machine, long now) {
+        Deployment.Limit limit = deployment.limit(job.spec.team());
+        return usable(machine, now)
+                && job.spec.demand().fitsIn(machine.room())
+                && job.spec.allows(machine.type(), machine.zone(), machine.spot())
+                && (!constrained(job.spec)
+                        || zoneAllows(job.spec, roster.zonesOf(job.spec.id()), machine.zone()))
+                && limit != null
+                && limit.allows(roster.use(job.spec.team()).plus(job.spec.demand()));
+    }
+
+    int outstanding() {
+        return leases.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Peers.java
@@ -0,0 +1,145 @@
+package notchpick.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import notchpick.protocol.PeerWire;
+import notchpick.protocol.peer.Progress;
+import notchpick.protocol.peer.Pulse;
+import notchpick.protocol.peer.Relay;
+import notchpick.protocol.peer.Relayed;
+import notchpick.transport.Actor;
+import notchpick.transport.Caller;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import notchpick.transport.EventLoop;
+
+/** Exchanges signs of life with the other controllers and keeps what they last said. */
+public final class Peers extends Actor<Peers.Message> {
+    /** What this actor is told. */
+    public sealed interface Message {}
+
+    public record Begin() implements Message {}
+
+    public record Heard(Pulse pulse) implements Message {}
+
+    private record Last(Pulse pulse, long at) {}
+
+    private final Deployment deployment;
+    private final Caller caller;
+    private final Supplier<Pulse> own;
+    private final Consumer<Pulse> heard;
+    private final long periodMs;
+    private final Map<String, Last> last = new HashMap<>();
+
+    public Peers(EventLoop loop, Deployment deployment, Caller caller, Supplier<Pulse> own, Consumer<Pulse> heard) {
+        super(loop);
+        this.deployment = deployment;
+        this.caller = caller;
+        this.own = own;
+        this.heard = heard;
+        this.periodMs = (long) (deployment.reportS() * 1000 / 4);
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof Begin) {
+            pulse();
+            every(periodMs, this::pulse);
+        } else if (message instanceof Heard news) {
+            hear(news.pulse());
+        }
+    }
+
+    private void pulse() {
+        byte[] body = PeerWire.bytes(own.get());
+        for (Deployment.Peer peer : deployment.peers()) {
+            caller.call(new Call(peer.address(), "POST", PeerWire.PATH, body), 2 * periodMs, here(answer -> {
+                if (answer.status() == 200 && PeerWire.body(answer.body()) instanceof Pulse pulse) {
+                    hear(pulse);
+                }
+            }));
+        }
+    }
+
+    private void hear(Pulse pulse) {
+        last.put(pulse.getNode(), new Last(pulse, loop.now()));
+        heard.accept(pulse);
+    }
+
+    private boolean fresh(Last entry) {
+        return entry != null && loop.now() - entry.at() <= 3 * periodMs;
+    }
+
+    /** The peers that have lately been heard of. */
+    public List<String> live() {
+        List<String> live = new ArrayList<>();
+        for (Deployment.Peer peer : deployment.peers()) {
+            if (fresh(last.get(peer.node()))) {
+                live.add(peer.node());
+            }
+        }
+        return live;
+    }
+
+    /** A live peer that reaches the state service, or null. */
+    public String withState() {
+        for (String node : live()) {
+            if (last.get(node).pulse().getStateReachable()) {
+                return node;
+            }
+        }
+        return null;
+    }
+
+    /** How many workers the peers have lately sent on to the leader. */
+    public int redirects() {
+        return live().stream().mapToInt(node -> last.get(node).pulse().getRedirects()).sum();
+    }
+
+    /** A job's counts as its leader last told them, or null. */
+    public Progress progress(String job) {
+        for (Last entry : last.values()) {
+            if (fresh(entry)) {
+                for (Progress progress : entry.pulse().getProgress()) {
+                    if (progress.getJob().equals(job)) {
+                        return progress;
+                    }
+                }
+            }
+        }
+        return null;
+    }
+
+    public String address(String node) {
+        for (Deployment.Peer peer : deployment.peers()) {
+            if (peer.node().equals(node)) {
+                return peer.address();
+            }
+        }
+        return null;
+    }
+
+    /** Sends a message and gives what comes back, null if nothing does. */
+    public void ask(String node, Object message, long timeoutMs, Consumer<Object> then) {
+        caller.call(new Call(address(node), "POST", PeerWire.PATH, PeerWire.bytes(message)), timeoutMs,
+                here(answer -> then.accept(answer.status() == 200 ? PeerWire.body(answer.body()) : null)));
+    }
+
+    /** Passes a user's request on to a peer. */
+    public void relay(String node, Call call, long timeoutMs, Consumer<Answer> then) {
+        String content = call.body() == null ? "" : new String(call.body(), java.nio.charset.StandardCharsets.UTF_8);
+        ask(node, new Relay(call.method(), call.path(), content), timeoutMs, reply -> {
+            if (reply instanceof Relayed relayed) {
+                then.accept(new Answer(relayed.getStatus(),
+                        relayed.getContent().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                        relayed.getStatus() == 503 ? 1 : 0));
+            } else {
+                then.accept(Answer.NONE);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/protocol/PeerWire.java
@@ -0,0 +1,40 @@
+package notchpick.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import notchpick.protocol.peer.Envelope;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+import org.apache.avro.specific.SpecificDatumReader;
+import org.apache.avro.specific.SpecificDatumWriter;
+
+/** The controllers' own messages, in Avro's binary form. */
+public final class PeerWire {
+    public static final String PATH = "/peer";
+
+    private PeerWire() {}
+
+    public static byte[] bytes(Object body) {
+        try {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            var encoder = EncoderFactory.get().directBinaryEncoder(out, null);
+            new SpecificDatumWriter<>(Envelope.class).write(new Envelope(body), encoder);
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The message in these bytes, or null if they hold none. */
+    public static Object body(byte[] bytes) {
+        if (bytes.length == 0) {
+            return null;
+        }
+        try {
+            var decoder = DecoderFactory.get().binaryDecoder(bytes, null);
+            return new SpecificDatumReader<>(Envelope.class).read(null, decoder).getBody();
+        } catch (IOException | RuntimeException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/protocol/UserWire.java
@@ -0,0 +1,86 @@
+package notchpick.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.regex.Pattern;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.JobSpec.Form;
+import notchpick.scheduling.JobSpec.Priority;
+
+/** What users send and are told. */
+public final class UserWire {
+    private static final Pattern JOB_ID = Pattern.compile("run-[0-9]{1,18}");
+    private static final int MAX_TASKS = 100_000;
+    private static final double MAX_AMOUNT = 1e9;
+
+    private UserWire() {}
+
+    public static boolean isJobId(String text) {
+        return JOB_ID.matcher(text).matches();
+    }
+
+    public static JobSpec submission(ObjectNode body, long now) throws InvalidMessage {
+        if (body == null) {
+            throw new InvalidMessage("the body must be a JSON object");
+        }
+        String id = jobId(body);
+        Form form = switch (Json.text(body, "jobForm")) {
+            case "sweep" -> Form.ARRAY;
+            case "service" -> Form.SERVICE;
+            default -> throw new InvalidMessage("jobForm is none of sweep, service");
+        };
+        Priority priority = switch (Json.text(body, "urgency")) {
+            case "prod" -> Priority.PRODUCTION;
+            case "high" -> Priority.HIGH;
+            case "normal" -> Priority.NORMAL;
+            case "idle" -> Priority.LOW;
+            default -> throw new InvalidMessage("urgency is none of prod, high, normal, idle");
+        };
+        Amounts demand = new Amounts(
+                Json.amount(body, "cores", 0, MAX_AMOUNT),
+                Json.amount(body, "gpus", 0, MAX_AMOUNT),
+                Json.amount(body, "ramGb", 0, MAX_AMOUNT));
+        return new JobSpec(
+                id,
+                Json.text(body, "workclass"),
+                Json.text(body, "ownerDesk"),
+                form,
+                priority,
+                (int) Json.count(body, "pieces", 1, MAX_TASKS),
+                demand,
+                Json.texts(body, "boxKinds"),
+                Json.absent(body, "site") ? null : Json.text(body, "site"),
+                Json.flag(body, "oneZone"),
+                Json.flag(body, "apart"),
+                Json.flag(body, "borrowed"),
+                Json.text(body, "bundle"),
+                Json.amount(body, "sizeGb", 0, MAX_AMOUNT),
+                Json.amount(body, "expectedS", 0, MAX_AMOUNT),
+                Json.amount(body, "bookmarkS", 0, MAX_AMOUNT),
+                Json.amount(body, "bookmarkWriteS", 0, MAX_AMOUNT),
+                Json.absent(body, "dueS") ? null : Json.amount(body, "dueS", 0, MAX_AMOUNT),
+                now);
+    }
+
+    /** The id alone: a job known already is answered whatever else its retry says. */
+    public static String jobId(ObjectNode body) throws InvalidMessage {
+        String id = Json.text(body, "ref");
+        if (!isJobId(id)) {
+            throw new InvalidMessage("ref must have the form run-000412");
+        }
+        return id;
+    }
+
+    public static ObjectNode status(String job, String status) {
+        return Json.object().put("ref", job).put("status", status);
+    }
+
+    public static ObjectNode status(String job, String status, int done, int running) {
+        return status(job, status).put("done", done).put("running", running);
+    }
+
+    public static JsonNode error(String message) {
+        return Json.object().put("error", message);
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -0,0 +1,159 @@
+package notchpick.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/** Decides which machines to rent, and which idle ones are not needed any more. */
+public final class FleetPlan {
+    private FleetPlan() {}
+
+    /** Where machines can be rented. */
+    public record Pool(String type, String zone, boolean spot) {}
+
+    /**
+     * What one job could use.
+     *
+     * @param tasks its unfinished tasks, running ones included
+     * @param runS what one task is expected to run
+     * @param pressed whether its users can't wait for cheap machines
+     */
+    public record Need(JobSpec spec, int tasks, double runS, boolean pressed) {}
+
+    /** A machine that is up or will be. */
+    public record Owned(String name, Pool pool, Amounts size, boolean idle) {}
+
+    public record Plan(Map<Pool, Integer> rent, Set<String> unneeded) {}
+
+    private static final class Slot {
+        private final Owned owned;
+        private final Pool pool;
+        private final double pricePerCore;
+        private Amounts room;
+        private boolean used;
+
+        Slot(Owned owned, Pool pool, double pricePerCore, Amounts room) {
+            this.owned = owned;
+            this.pool = pool;
+            this.pricePerCore = pricePerCore;
+            this.room = room;
+        }
+    }
+
+    /**
+     * @param needs in the order in which they are served
+     * @param horizonS the backlog should be worked off in this time
+     * @param refused pools that the cloud has lately refused
+     */
+    public static Plan plan(List<Need> needs, List<Owned> owned, Map<String, MachineType> types,
+            double horizonS, Predicate<Pool> refused) {
+        List<Slot> slots = new ArrayList<>();
+        for (Owned machine : owned) {
+            MachineType type = types.get(machine.pool().type());
+            double price = type == null ? Double.MAX_VALUE : pricePerCore(type, machine.pool().spot());
+            slots.add(new Slot(machine, machine.pool(), price, machine.size()));
+        }
+        // Busy machines first, then cheap ones: what stays unused is what can go.
+        slots.sort(Comparator.<Slot>comparingInt(s -> s.owned.idle() ? 1 : 0).thenComparingDouble(s -> s.pricePerCore));
+        Map<Pool, Integer> rent = new LinkedHashMap<>();
+        Map<Pool, Integer> held = new HashMap<>();
+        owned.forEach(machine -> held.merge(machine.pool(), 1, Integer::sum));
+        for (Need need : needs) {
+            int wanted = wanted(need, horizonS);
+            for (Slot slot : slots) {
+                if (wanted == 0) {
+                    break;
+                }
+                wanted -= pack(need, slot, wanted);
+            }
+            while (wanted > 0) {
+                Pool pool = choosePool(need, types, held, refused);
+                if (pool == null) {
+                    break;
+                }
+                MachineType type = types.get(pool.type());
+                Slot slot = new Slot(null, pool, pricePerCore(type, pool.spot()), type.size());
+                int packed = pack(need, slot, wanted);
+                if (packed == 0) {
+                    break;
+                }
+                wanted -= packed;
+                slots.add(slot);
+                rent.merge(pool, 1, Integer::sum);
+                held.merge(pool, 1, Integer::sum);
+            }
+        }
+        Set<String> unneeded = new HashSet<>();
+        for (Slot slot : slots) {
+            if (slot.owned != null && slot.owned.idle() && !slot.used) {
+                unneeded.add(slot.owned.name());
+            }
+        }
+        return new Plan(rent, unneeded);
+    }
+
+    /** As many tasks at once as finish the job's rest within the horizon. */
+    private static int wanted(Need need, double horizonS) {
+        if (need.spec().isService()) {
+            return need.tasks();
+        }
+        double rounds = Math.max(1, Math.floor(horizonS / Math.max(need.runS(), 1)));
+        return (int) Math.ceil(need.tasks() / rounds);
+    }
+
+    private static int pack(Need need, Slot slot, int wanted) {
+        JobSpec spec = need.spec();
+        if (!spec.allows(slot.pool.type(), slot.pool.zone(), slot.pool.spot())) {
+            return 0;
+        }
+        int count = Math.min(wanted, spec.demand().countIn(slot.room));
+        if (count > 0) {
+            slot.room = slot.room.minus(spec.demand().times(count));
+            slot.used = true;
+        }
+        return count;
+    }
+
+    /**
+     * The cheapest pool that the job may use; among equals the one of which least is held, so that
+     * one wave of taken machines doesn't take all.
+     */
+    private static Pool choosePool(Need need, Map<String, MachineType> types, Map<Pool, Integer> held,
+            Predicate<Pool> refused) {
+        Pool best = null;
+        double bestPrice = 0;
+        for (boolean spot : new boolean[] {true, false}) {
+            if (best != null || !spot && need.spec().spot() && !need.pressed()) {
+                break;
+            }
+            for (MachineType type : types.values()) {
+                for (String zone : type.zones()) {
+                    Pool pool = new Pool(type.name(), zone, spot);
+                    if (!need.spec().allows(type.name(), zone, spot)
+                            || !need.spec().demand().fitsIn(type.size())
+                            || refused.test(pool)) {
+                        continue;
+                    }
+                    double price = pricePerCore(type, spot);
+                    if (best == null || price < bestPrice
+                            || price == bestPrice
+                                    && held.getOrDefault(pool, 0) < held.getOrDefault(best, 0)) {
+                        best = pool;
+                        bestPrice = price;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private static double pricePerCore(MachineType type, boolean spot) {
+        return (spot ? type.spotPrice() : type.price()) / Math.max(type.size().cores(), 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/scheduling/MachineType.java
@@ -0,0 +1,14 @@
+package notchpick.scheduling;
+
+import java.util.List;
+
+/** A type of machine that the cloud rents out. */
+public record MachineType(
+        String name,
+        Amounts size,
+        double cacheGb,
+        double fetchGbPerS,
+        double price,
+        double spotPrice,
+        double bootS,
+        List<String> zones) {}
--- /dev/null
+++ b/src/main/java/notchpick/transport/JettyServer.java
@@ -0,0 +1,96 @@
+package notchpick.transport;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.ByteBufferPool;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.eclipse.jetty.util.thread.ThreadPool;
+
+/** Jetty's server, with one connector for each address that is served. */
+public final class JettyServer {
+    /** The protocol's limit for a request body. */
+    private static final int MAX_BODY_BYTES = 64 << 10;
+    /** Between controllers a grant may be longer than what users may send. */
+    private static final int MAX_PEER_BODY_BYTES = 4 << 20;
+
+    private final Server server;
+
+    /** Serves each {@code address:port} with its handler. */
+    public JettyServer(ThreadPool threads, Scheduler scheduler, ByteBufferPool buffers, Map<String, Handler> served,
+            String peerAddress, long idleTimeoutMs) {
+        server = new Server(threads, scheduler, buffers);
+        HttpConfiguration config = new HttpConfiguration();
+        config.setSendServerVersion(false);
+        config.setSendDateHeader(false);
+        config.setOutputBufferSize(8 << 10);
+        for (String address : served.keySet()) {
+            int colon = address.lastIndexOf(':');
+            ServerConnector connector =
+                    new ServerConnector(server, null, scheduler, buffers, 0, 1, new HttpConnectionFactory(config));
+            connector.setName(address);
+            connector.setHost(address.substring(0, colon));
+            connector.setPort(Integer.parseInt(address.substring(colon + 1)));
+            connector.setIdleTimeout(idleTimeoutMs);
+            connector.setAcceptQueueSize(256);
+            server.addConnector(connector);
+        }
+        server.setHandler(new org.eclipse.jetty.server.Handler.Abstract.NonBlocking() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) {
+                String name = request.getConnectionMetaData().getConnector().getName();
+                int limit = name.equals(peerAddress) ? MAX_PEER_BODY_BYTES : MAX_BODY_BYTES;
+                serve(served.get(name), limit, request, response, callback);
+                return true;
+            }
+        });
+    }
+
+    public void start() throws Exception {
+        server.start();
+    }
+
+    public void stop() throws Exception {
+        server.stop();
+    }
+
+    private static void serve(Handler handler, int limit, Request request, Response response, Callback callback) {
+        if (request.getLength() > limit) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+            send(new Caller.Answer(400, new byte[0]), response, callback);
+            return;
+        }
+        Content.Source.asByteArrayAsync(request, limit).whenComplete((body, failure) -> {
+            if (failure != null) {
+                response.getHeaders().put(HttpHeader.CONNECTION, "close");
+                send(new Caller.Answer(400, new byte[0]), response, callback);
+                return;
+            }
+            try {
+                handler.handle(
+                        new Caller.Call(null, request.getMethod(), request.getHttpURI().getPathQuery(), body),
+                        answer -> send(answer, response, callback));
+            } catch (RuntimeException e) {
+                send(new Caller.Answer(500, new byte[0]), response, callback);
+            }
+        });
+    }
+
+    private static void send(Caller.Answer answer, Response response, Callback callback) {
+        response.setStatus(answer.status());
+        if (answer.retryAfterS() > 0) {
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, answer.retryAfterS());
+        }
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length);
+        response.write(true, ByteBuffer.wrap(answer.body()), callback);
+    }
+}
