--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -656,7 +656,9 @@
                     if (mayForget(task)) {
                         orders.add(new Forget(task.job(), task.task(), task.attempt()));
                     }
-                } else if (binding == null || binding.attempt != task.attempt()) {
+                } else if (binding == null || binding.attempt != task.attempt()
+                        // Cancelled while nobody led: its hint was read, its job was not open any more.
+                        || !roster.jobs.containsKey(task.job())) {
                     orders.add(new Stop(task.job(), task.task(), task.attempt(), 0));
                 } else if (binding.stopGraceS != null && !(binding.saving && binding.stopGraceS > 0)) {
                     orders.add(new Stop(task.job(), task.task(), task.attempt(), binding.stopGraceS));
--- /dev/null
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -0,0 +1,211 @@
+package notchpick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import notchpick.coordination.Deployment.Limit;
+import notchpick.protocol.InvalidMessage;
+import notchpick.protocol.Json;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.MachineType;
+import notchpick.standin.Network.Cut;
+import notchpick.standin.World;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Plays every scenario under src/test/resources/scenarios. A line is {@code at SECONDS VERB WORDS...};
+ * first come lines without a time that describe the deployment. See the README.
+ */
+class ScenarioTest {
+    static Stream<Path> scenarios() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
+            return files.filter(file -> file.toString().endsWith(".txt")).sorted().toList().stream();
+        }
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("scenarios")
+    void plays(Path file) throws Exception {
+        int controllers = 3;
+        List<Limit> teams = new ArrayList<>();
+        List<MachineType> types = new ArrayList<>();
+        List<String[]> pools = new ArrayList<>();
+        List<String[]> steps = new ArrayList<>();
+        for (String line : Files.readAllLines(file)) {
+            String[] words = line.strip().split("\\s+");
+            switch (words[0]) {
+                case "", "#" -> { }
+                case "controllers" -> controllers = Integer.parseInt(words[1]);
+                case "team" -> teams.add(new Limit(words[1],
+                        new Amounts(Double.parseDouble(words[2]), 0, 0),
+                        new Amounts(Double.parseDouble(words[3]), 0, 0)));
+                case "type" -> types.add(new MachineType(words[1],
+                        new Amounts(Double.parseDouble(words[2]), Double.parseDouble(words[3]), 64), 100, 1, 1, 0.3,
+                        Double.parseDouble(words[4]), List.of("east", "west")));
+                case "pool" -> pools.add(words);
+                case "at" -> steps.add(words);
+                default -> throw new IllegalArgumentException(file + ": " + line);
+            }
+        }
+        teams = teams.isEmpty() ? List.of(new Limit("a", Amounts.NONE, Amounts.NONE)) : teams;
+        types = types.isEmpty()
+                ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
+                : types;
+        World world = new World(controllers, teams, types);
+        if (pools.isEmpty()) {
+            world.capacity("m8", "east", true, 4);
+            world.capacity("m8", "west", true, 4);
+            world.capacity("m8", "east", false, 4);
+        }
+        pools.forEach(p -> world.capacity(p[1], p[2], p[3].equals("spot"), Integer.parseInt(p[4])));
+        steps.sort(Comparator.comparingDouble(words -> Double.parseDouble(words[1])));
+        for (String[] words : steps) {
+            world.simulation().runUntil((long) (Double.parseDouble(words[1]) * 1000));
+            play(world, words);
+        }
+        assertEquals(List.of(), world.rules().breaches());
+        assertTrue(world.rules().starts() > 0, "nothing_ran");
+    }
+
+    private static String node(World world, String word) {
+        return word.equals("leader") ? world.leader() : word;
+    }
+
+    private static String machine(World world, String word) {
+        if (word.equals("busy")) {
+            return world.machines().stream().filter(name -> world.worker(name).live() > 0).findFirst().orElseThrow();
+        }
+        return word;
+    }
+
+    private static void play(World world, String[] words) throws InvalidMessage {
+        String verb = words[2];
+        String first = words.length > 3 ? words[3] : "";
+        switch (verb) {
+            case "submit" -> submit(world, first, options(words, 4));
+            case "resubmit" -> world.resubmit(first);
+            case "cancel" -> world.cancel(first);
+            case "ask" -> world.poll(first);
+            case "crash" -> {
+                long restartMs = words.length > 4 ? (long) (Double.parseDouble(words[4]) * 1000) : -1;
+                if (first.equals("all")) {
+                    world.nodes().forEach(node -> world.crash(node, restartMs));
+                } else {
+                    world.crash(node(world, first), restartMs);
+                }
+            }
+            case "cut" -> {
+                Cut how = words[words.length - 1].equals("reset") ? Cut.RESET : Cut.HOLD;
+                ends(world, first, words[4]).forEach(pair -> world.network().cut(pair[0], pair[1], how));
+            }
+            case "heal" -> ends(world, first, words[4]).forEach(pair -> world.network().heal(pair[0], pair[1]));
+            case "outage" -> world.state().outage(first.equals("on"));
+            case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
+            case "lose-commits" -> world.state().loseCommits(Integer.parseInt(first),
+                    (long) (Double.parseDouble(words[4]) * 1000));
+            case "cloud" -> world.cloud().down(first.equals("down"));
+            case "late-release" -> world.cloud().nextReleaseLate((long) (Double.parseDouble(first) * 1000));
+            case "late-rental" -> world.cloud().nextRentalLate((long) (Double.parseDouble(first) * 1000));
+            case "never-up" -> world.cloud().neverUp(Integer.parseInt(first));
+            case "die" -> world.cloud().take(machine(world, first));
+            case "hang" -> world.worker(machine(world, first)).hang(true);
+            case "unhang" -> world.workers().forEach(worker -> worker.hang(false));
+            case "sick" -> world.worker(machine(world, first)).sick();
+            case "wave" -> wave(world, first);
+            case "notice" -> world.workers().forEach(worker -> worker.notice(Double.parseDouble(first)));
+            case "expect" -> expect(world, words);
+            default -> throw new IllegalArgumentException(String.join(" ", words));
+        }
+    }
+
+    private static void wave(World world, String zone) {
+        List.copyOf(world.machines()).stream().filter(name -> zone.equals("all") || world.zone(name).equals(zone))
+                .forEach(world.cloud()::take);
+    }
+
+    private static List<String[]> ends(World world, String one, String other) {
+        String from = node(world, one);
+        List<String[]> pairs = new ArrayList<>();
+        switch (other) {
+            case "workers" -> world.machines().forEach(machine -> pairs.add(new String[] {from, machine}));
+            case "peers" -> world.nodes().stream().filter(node -> !node.equals(from))
+                    .forEach(node -> pairs.add(new String[] {from, node}));
+            default -> pairs.add(new String[] {from, other});
+        }
+        return pairs;
+    }
+
+    private static Map<String, String> options(String[] words, int start) {
+        Map<String, String> options = new HashMap<>();
+        for (int i = start; i + 1 < words.length; i += 2) {
+            options.put(words[i], words[i + 1]);
+        }
+        return options;
+    }
+
+    static ObjectNode submission(String job, Map<String, String> options) {
+        ObjectNode body = Json.object()
+                .put("ref", job)
+                .put("workclass", options.getOrDefault("class", "plain"))
+                .put("ownerDesk", options.getOrDefault("team", "a"))
+                .put("jobForm", options.getOrDefault("form", "sweep"))
+                .put("urgency", options.getOrDefault("urgency", "normal"))
+                .put("pieces", Integer.parseInt(options.getOrDefault("tasks", "4")))
+                .put("cores", Double.parseDouble(options.getOrDefault("cores", "1")))
+                .put("gpus", Double.parseDouble(options.getOrDefault("gpus", "0")))
+                .put("ramGb", Double.parseDouble(options.getOrDefault("ram", "1")))
+                .put("bundle", options.getOrDefault("image", "img-1"))
+                .put("sizeGb", 1.0)
+                .put("site", options.get("zone"))
+                .put("oneZone", options.containsKey("one-zone"))
+                .put("apart", options.containsKey("apart"))
+                .put("borrowed", !options.containsKey("ordinary"))
+                .put("expectedS", Double.parseDouble(options.getOrDefault("expected", "20")))
+                .put("bookmarkS", Double.parseDouble(options.getOrDefault("saves", "0")))
+                .put("bookmarkWriteS", 1.0);
+        if (options.containsKey("due")) {
+            body.put("dueS", Double.parseDouble(options.get("due")));
+        }
+        if (options.containsKey("types")) {
+            body.putArray("boxKinds").add(options.get("types"));
+        }
+        return body;
+    }
+
+    private static void submit(World world, String job, Map<String, String> options) throws InvalidMessage {
+        world.submit(submission(job, options), Double.parseDouble(options.getOrDefault("run", "20")),
+                options.containsKey("fails"));
+    }
+
+    private static void expect(World world, String[] words) {
+        String where = String.join(" ", words);
+        switch (words[3]) {
+            case "leader" -> {
+                if (words[4].equals("none")) {
+                    assertEquals(null, world.leader(), where);
+                } else if (words[4].equals("not")) {
+                    assertTrue(world.leader() != null && !world.leader().equals(words[5]), where);
+                } else {
+                    assertTrue(world.leader() != null, where);
+                }
+            }
+            case "machines" -> assertTrue(world.cloud().machines().size() <= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.cloud().machines().size());
+            case "starts" -> assertTrue(world.rules().starts() <= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.rules().starts());
+            case "status" -> assertEquals(Integer.parseInt(words[5]), world.lastStatus(words[4]), where);
+            default -> assertEquals(words[4], world.told(words[3]), where);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/CloudStandIn.java
@@ -0,0 +1,172 @@
+package notchpick.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import notchpick.protocol.CloudApi;
+import notchpick.protocol.Json;
+import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import notchpick.transport.Handler;
+
+/** The cloud, written from its published protocol. */
+public final class CloudStandIn implements Handler {
+    /** A machine that somebody pays for. */
+    public static final class Rented {
+        public final String name;
+        public final MachineType type;
+        public final String zone;
+        public final boolean spot;
+        public final long since;
+        public boolean up;
+
+        Rented(String name, MachineType type, String zone, boolean spot, long since) {
+            this.name = name;
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.since = since;
+        }
+    }
+
+    private final LongSupplier clock;
+    private final StateStandIn.Timer timer;
+    private final Map<String, MachineType> types;
+    private final Consumer<Rented> up;
+    private final Consumer<String> gone;
+    private final Map<Pool, Integer> capacity = new HashMap<>();
+    private final Map<String, Rented> machines = new java.util.TreeMap<>();
+    private final Map<String, byte[]> answers = new HashMap<>();
+    private int count;
+    private boolean down;
+    private long releaseLateMs;
+    private long rentLateMs;
+    private int stuck;
+
+    /** @param up hears of machines whose worker begins; gone, of names that are gone */
+    public CloudStandIn(LongSupplier clock, StateStandIn.Timer timer, Map<String, MachineType> types,
+            Consumer<Rented> up, Consumer<String> gone) {
+        this.clock = clock;
+        this.timer = timer;
+        this.types = types;
+        this.up = up;
+        this.gone = gone;
+    }
+
+    public void capacity(Pool pool, int most) {
+        capacity.put(pool, most);
+    }
+
+    public void down(boolean on) {
+        down = on;
+    }
+
+    /** The next release gets no answer and happens this much later. */
+    public void nextReleaseLate(long lateMs) {
+        releaseLateMs = lateMs;
+    }
+
+    /** The next rental gets no answer and happens this much later. */
+    public void nextRentalLate(long lateMs) {
+        rentLateMs = lateMs;
+    }
+
+    /** So many of the next machines never come up. */
+    public void neverUp(int machinesStuck) {
+        stuck = machinesStuck;
+    }
+
+    public List<Rented> machines() {
+        return new ArrayList<>(machines.values());
+    }
+
+    public void take(String name) {
+        if (machines.remove(name) != null) {
+            gone.accept(name);
+        }
+    }
+
+    @Override
+    public void handle(Call call, Consumer<Answer> reply) {
+        if (down) {
+            reply.accept(new Answer(503, Json.bytes(Json.object().put("error", "trouble"))));
+        } else if (call.path().equals("/machine_types")) {
+            reply.accept(new Answer(200, Json.bytes(CloudApi.typesJson(types.values()))));
+        } else if (call.path().equals("/rentals")) {
+            ObjectNode body = Json.object(call.body());
+            if (rentLateMs > 0) {
+                timer.after(rentLateMs, () -> rent(body));
+                rentLateMs = 0;
+            } else {
+                reply.accept(rent(body));
+            }
+        } else if (call.path().equals("/rentals/release")) {
+            List<String> names = new ArrayList<>();
+            Json.object(call.body()).path("boxes").forEach(name -> names.add(name.asText()));
+            if (releaseLateMs > 0) {
+                timer.after(releaseLateMs, () -> names.forEach(this::take));
+                releaseLateMs = 0;
+            } else {
+                names.forEach(this::take);
+                reply.accept(new Answer(200, Json.bytes(Json.object())));
+            }
+        } else {
+            reply.accept(list());
+        }
+    }
+
+    private Answer rent(JsonNode body) {
+        String request = body.path("hireSlip").asText();
+        if (answers.containsKey(request)) {
+            return new Answer(200, answers.get(request));
+        }
+        MachineType type = types.get(body.path("boxKind").asText());
+        Pool pool = new Pool(type.name(), body.path("site").asText(), body.path("borrowed").asBoolean());
+        long held = machines.values().stream().filter(m -> m.type == type && m.zone.equals(pool.zone())
+                && m.spot == pool.spot()).count();
+        int number = (int) Math.min(body.path("number").asInt(), capacity.getOrDefault(pool, 0) - held);
+        if (number <= 0) {
+            return new Answer(503, Json.bytes(Json.object().put("error", "no capacity")));
+        }
+        ObjectNode answer = Json.object();
+        ArrayNode names = answer.putArray("boxes");
+        for (int i = 0; i < number; i++) {
+            Rented rented = new Rented(String.format("m-%06d", count++), type, pool.zone(), pool.spot(),
+                    clock.getAsLong());
+            machines.put(rented.name, rented);
+            names.add(rented.name);
+            if (stuck > 0) {
+                stuck--;
+                continue;
+            }
+            timer.after((long) (type.bootS() * 1000) + 37L * i, () -> {
+                if (machines.containsKey(rented.name)) {
+                    rented.up = true;
+                    up.accept(rented);
+                }
+            });
+        }
+        answers.put(request, Json.bytes(answer));
+        return new Answer(200, answers.get(request));
+    }
+
+    private Answer list() {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("boxes");
+        for (Rented rented : machines.values()) {
+            list.addObject().put("ref", rented.name).put("address", "10.1.0.1:9000").put("boxKind", rented.type.name())
+                    .put("site", rented.zone).put("borrowed", rented.spot)
+                    .put("status", rented.up ? "running" : "starting")
+                    .put("ageS", (clock.getAsLong() - rented.since) / 1000.0);
+        }
+        return new Answer(200, Json.bytes(body.put("truncated", false)));
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/Simulation.java
@@ -0,0 +1,68 @@
+package notchpick.standin;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
+import notchpick.transport.EventLoop;
+
+/** Simulated time: what is due happens in order, at once. */
+public final class Simulation {
+    private record Due(long at, long order, Runnable work) {}
+
+    private final PriorityQueue<Due> due =
+            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private long now;
+    private long order;
+
+    public long now() {
+        return now;
+    }
+
+    public void after(long delayMs, Runnable work) {
+        due.add(new Due(now + Math.max(0, delayMs), order++, work));
+    }
+
+    public void runUntil(long end) {
+        while (!due.isEmpty() && due.peek().at() <= end) {
+            Due next = due.poll();
+            now = next.at();
+            next.work().run();
+        }
+        now = end;
+    }
+
+    /**
+     * The loop of one process.
+     *
+     * @param fastPercent how much its steady clock runs fast
+     * @param offsetMs how far its time of day is off
+     */
+    public EventLoop loop(double fastPercent, long offsetMs, BooleanSupplier alive) {
+        double rate = 1 + fastPercent / 100;
+        return new EventLoop() {
+            @Override
+            public long now() {
+                return 1_000_000 + (long) (now * rate);
+            }
+
+            @Override
+            public long wallTime() {
+                return 1_700_000_000_000L + now + offsetMs;
+            }
+
+            @Override
+            public void execute(Runnable work) {
+                after(0, work);
+            }
+
+            @Override
+            public void after(long delayMs, Runnable work) {
+                Simulation.this.after((long) Math.ceil(delayMs / rate), () -> {
+                    if (alive.getAsBoolean()) {
+                        work.run();
+                    }
+                });
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -0,0 +1,281 @@
+package notchpick.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import notchpick.protocol.Json;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import notchpick.transport.Handler;
+
+/** The state service, written from its published protocol. */
+public final class StateStandIn implements Handler {
+    private record Item(JsonNode value, long version, long lease) {}
+
+    private record Logged(String key, JsonNode value, long version) {}
+
+    private record Watch(String prefix, long since, long until, Consumer<Answer> reply) {}
+
+    /** Runs something later; a plain timer when served over real sockets. */
+    public interface Timer {
+        void after(long delayMs, Runnable work);
+    }
+
+    private final LongSupplier clock;
+    private final Timer timer;
+    private final int maxWrites;
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final Map<Long, Long> leaseEnds = new HashMap<>();
+    private final Map<Long, Long> leaseLives = new HashMap<>();
+    private final List<Logged> log = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final Set<String> refused = new HashSet<>();
+    private long revision;
+    private long lastLease;
+    private boolean outage;
+    private int loseAnswers;
+    private long applyLateMs;
+
+    public StateStandIn(LongSupplier clock, Timer timer, int maxWrites) {
+        this.clock = clock;
+        this.timer = timer;
+        this.maxWrites = maxWrites;
+    }
+
+    public void outage(boolean on) {
+        if (outage && !on) {
+            leaseLives.forEach((lease, life) -> setEnd(lease, clock.getAsLong() + life));
+        }
+        outage = on;
+    }
+
+    /** Answers 503 to this host alone. */
+    public void refuse(String host, boolean on) {
+        if (on) {
+            refused.add(host);
+        } else {
+            refused.remove(host);
+        }
+    }
+
+    /** The next so many commits get no answer, and are applied this much later. */
+    public void loseCommits(int count, long lateMs) {
+        loseAnswers = count;
+        applyLateMs = lateMs;
+    }
+
+    public JsonNode value(String key) {
+        Item item = items.get(key);
+        return item == null ? null : item.value();
+    }
+
+    @Override
+    public void handle(Call call, Consumer<Answer> reply) {
+        String path = call.path().split("\\?", 2)[0];
+        if (path.equals("/changes")) {
+            changes(call, reply);
+            return;
+        }
+        if (outage || refused.contains(call.target())) {
+            reply.accept(new Answer(503, new byte[0]));
+            return;
+        }
+        if (path.equals("/commit") && loseAnswers > 0) {
+            loseAnswers--;
+            timer.after(applyLateMs, () -> commit(Json.object(call.body())));
+            return;
+        }
+        reply.accept(answer(call, path));
+    }
+
+    private static Answer ok(JsonNode body) {
+        return new Answer(200, Json.bytes(body));
+    }
+
+    private Answer missing() {
+        return new Answer(404, Json.bytes(Json.object().put("ledgerNo", revision)));
+    }
+
+    private Answer answer(Call call, String path) {
+        if (path.equals("/commit")) {
+            return commit(Json.object(call.body()));
+        }
+        if (path.equals("/keys")) {
+            return list(query(call));
+        }
+        if (path.startsWith("/keys/")) {
+            Item item = items.get(path.substring(6));
+            return item == null ? missing() : ok(json(path.substring(6), item));
+        }
+        if (path.equals("/holds")) {
+            long life = Json.object(call.body()).path("lifeMs").asLong();
+            long lease = ++lastLease;
+            leaseLives.put(lease, life);
+            setEnd(lease, clock.getAsLong() + life);
+            return ok(Json.object().put("permit", lease));
+        }
+        long lease = Long.parseLong(path.split("/")[2]);
+        if (!leaseEnds.containsKey(lease)) {
+            return missing();
+        }
+        if (call.method().equals("DELETE")) {
+            endLease(lease);
+        } else {
+            setEnd(lease, clock.getAsLong() + leaseLives.get(lease));
+        }
+        return ok(Json.object());
+    }
+
+    private void setEnd(long lease, long end) {
+        leaseEnds.put(lease, end);
+        timer.after(end - clock.getAsLong() + 1, () -> {
+            Long current = leaseEnds.get(lease);
+            if (current != null && current <= clock.getAsLong() && !outage) {
+                endLease(lease);
+            }
+        });
+    }
+
+    private void endLease(long lease) {
+        leaseEnds.remove(lease);
+        leaseLives.remove(lease);
+        List<String> keys = items.entrySet().stream()
+                .filter(entry -> entry.getValue().lease() == lease).map(Map.Entry::getKey).toList();
+        if (!keys.isEmpty()) {
+            revision++;
+            keys.forEach(this::delete);
+            wake();
+        }
+    }
+
+    private void delete(String key) {
+        if (items.remove(key) != null) {
+            log.add(new Logged(key, null, revision));
+        }
+    }
+
+    private static ObjectNode json(String key, Item item) {
+        ObjectNode node = Json.object().put("k", key).put("entryNo", item.version());
+        if (item.lease() != 0) {
+            node.put("permit", item.lease());
+        }
+        node.set("v", item.value());
+        return node;
+    }
+
+    private Answer list(Map<String, String> query) {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("items");
+        String prefix = query.getOrDefault("prefix", "");
+        int limit = Math.min(1000, Integer.parseInt(query.getOrDefault("limit", "1000")));
+        String after = query.getOrDefault("since", "");
+        boolean more = false;
+        for (Map.Entry<String, Item> entry : items.tailMap(prefix).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (entry.getKey().compareTo(after) > 0) {
+                if (list.size() == limit) {
+                    more = true;
+                    break;
+                }
+                list.add(json(entry.getKey(), entry.getValue()));
+            }
+        }
+        return ok(body.put("truncated", more).put("ledgerNo", revision));
+    }
+
+    private Answer commit(ObjectNode body) {
+        if (outage) {
+            return new Answer(503, new byte[0]);
+        }
+        ObjectNode conflict = Json.object();
+        ArrayNode failed = conflict.putArray("failed");
+        for (JsonNode guard : body.path("guards")) {
+            Item item = items.get(guard.path("k").asText());
+            if (guard.path("entryNo").asLong() != (item == null ? 0 : item.version())) {
+                failed.add(guard.path("k").asText());
+            }
+        }
+        JsonNode writes = body.path("writes");
+        if (writes.size() > maxWrites) {
+            return new Answer(400, new byte[0]);
+        }
+        for (JsonNode write : writes) {
+            if (write.has("permit") && !leaseEnds.containsKey(write.path("permit").asLong())) {
+                return new Answer(400, Json.bytes(Json.object().put("error", "no such lease")));
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new Answer(409, Json.bytes(conflict.put("ledgerNo", revision)));
+        }
+        revision++;
+        for (JsonNode write : writes) {
+            if (write.has("put")) {
+                String key = write.path("put").asText();
+                items.put(key, new Item(write.get("v"), revision, write.path("permit").asLong()));
+                log.add(new Logged(key, write.get("v"), revision));
+            } else {
+                delete(write.path("delete").asText());
+            }
+        }
+        wake();
+        return ok(Json.object().put("ledgerNo", revision));
+    }
+
+    private void changes(Call call, Consumer<Answer> reply) {
+        Map<String, String> query = query(call);
+        long until = clock.getAsLong() + Long.parseLong(query.getOrDefault("holdMs", "0"));
+        Watch watch = new Watch(query.getOrDefault("prefix", ""), Long.parseLong(query.get("since")), until, reply);
+        watches.add(watch);
+        timer.after(until - clock.getAsLong() + 1, this::wake);
+        wake();
+    }
+
+    private void wake() {
+        if (outage) {
+            return;
+        }
+        for (Watch watch : List.copyOf(watches)) {
+            ObjectNode body = Json.object().put("ledgerNo", revision);
+            ArrayNode list = body.putArray("log");
+            for (Logged logged : log) {
+                if (logged.version() > watch.since() && logged.key().startsWith(watch.prefix())) {
+                    ObjectNode node = list.addObject().put("entryNo", logged.version());
+                    if (logged.value() == null) {
+                        node.put("delete", logged.key());
+                    } else {
+                        node.put("put", logged.key()).set("v", logged.value());
+                    }
+                }
+            }
+            if (!list.isEmpty() || clock.getAsLong() >= watch.until()) {
+                watches.remove(watch);
+                watch.reply().accept(ok(body));
+            }
+        }
+    }
+
+    private static Map<String, String> query(Call call) {
+        Map<String, String> query = new HashMap<>();
+        String[] parts = call.path().split("\\?", 2);
+        if (parts.length == 2) {
+            for (String part : parts[1].split("&")) {
+                String[] pair = part.split("=", 2);
+                query.put(pair[0], URLDecoder.decode(pair[1], StandardCharsets.UTF_8));
+            }
+        }
+        return query;
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/WorkerStandIn.java
@@ -0,0 +1,332 @@
+package notchpick.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import notchpick.protocol.Json;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.Caller;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+
+/** A worker, written from its published protocol. */
+public final class WorkerStandIn {
+    private static final long FETCH_MS = 1000;
+
+    /** What is true of the tasks that users submitted. */
+    public interface Jobs {
+        /** Null if there is no such job. */
+        Amounts demand(String job);
+
+        long runMs(String job);
+
+        boolean saves(String job);
+
+        boolean failsEverywhere(String job);
+    }
+
+    private static final class Piece {
+        private final String task;
+        private final long attempt;
+        private String state = "fetching";
+        private String exit;
+        private long startedAt;
+
+        Piece(String task, long attempt) {
+            this.task = task;
+            this.attempt = attempt;
+        }
+
+        private boolean live() {
+            return !state.equals("exited");
+        }
+    }
+
+    private final Simulation simulation;
+    private final Caller caller;
+    private final RuleBook rules;
+    private final Jobs jobs;
+    private final String name;
+    private final MachineType type;
+    private final String zone;
+    private final boolean spot;
+    private final Map<String, String> controllers;
+    private final List<String> nodes;
+    private final long reportMs;
+    private final long leaseMs;
+    private final Map<String, Piece> pieces = new LinkedHashMap<>();
+    /** Work saved outside the machines, by task. */
+    private final Map<String, Long> saved;
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private int node;
+    private boolean inFlight;
+    private boolean dead;
+    private boolean hanging;
+    private boolean sick;
+    private Double noticeS;
+    private long leaseFrom;
+    private long lastReport;
+    private long due;
+
+    public WorkerStandIn(Simulation simulation, Caller caller, RuleBook rules, Jobs jobs, String name,
+            MachineType type, String zone, boolean spot, Map<String, String> controllers, long reportMs, long leaseMs,
+            Map<String, Long> saved) {
+        this.simulation = simulation;
+        this.caller = caller;
+        this.rules = rules;
+        this.jobs = jobs;
+        this.name = name;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.controllers = controllers;
+        this.nodes = List.copyOf(controllers.keySet());
+        this.node = Math.floorMod(name.hashCode(), nodes.size());
+        this.reportMs = reportMs;
+        this.leaseMs = leaseMs;
+        this.saved = saved;
+        this.leaseFrom = simulation.now();
+        watchLease();
+        reportAt(simulation.now());
+    }
+
+    /** The machine stops with all that is on it. */
+    public void die() {
+        dead = true;
+        killAll();
+    }
+
+    public void hang(boolean on) {
+        hanging = on;
+        if (!on) {
+            reportAt(simulation.now());
+        }
+    }
+
+    public void sick() {
+        sick = true;
+    }
+
+    public void notice(double seconds) {
+        noticeS = seconds;
+        change();
+    }
+
+    public int live() {
+        return (int) pieces.values().stream().filter(Piece::live).count();
+    }
+
+    private void killAll() {
+        for (Piece piece : pieces.values()) {
+            if (piece.live() && !piece.state.equals("fetching")) {
+                rules.left(name, piece.task);
+            }
+        }
+        pieces.clear();
+    }
+
+    private void watchLease() {
+        long from = leaseFrom;
+        simulation.after(from + leaseMs - simulation.now() + 1, () -> {
+            if (dead) {
+                return;
+            }
+            if (leaseFrom == from) {
+                killAll();
+                session++;
+                leaseFrom = simulation.now();
+                change();
+            }
+            watchLease();
+        });
+    }
+
+    private void reportAt(long at) {
+        due = Math.max(at, lastReport + 500);
+        long mine = due;
+        simulation.after(mine - simulation.now(), () -> {
+            if (due == mine) {
+                report();
+            }
+        });
+    }
+
+    private void change() {
+        if (!inFlight) {
+            reportAt(Math.min(due, simulation.now()));
+        }
+    }
+
+    private void report() {
+        if (dead || hanging || inFlight) {
+            return;
+        }
+        inFlight = true;
+        lastReport = simulation.now();
+        long sentAt = simulation.now();
+        long sentSession = session;
+        ObjectNode body = Json.object().put("box", name).put("address", "10.1.0.1:9000").put("boxKind", type.name())
+                .put("site", zone).put("borrowed", spot).put("shift", session).put("tally", ++sequence)
+                .put("mandate", token).put("recallS", noticeS);
+        ArrayNode list = body.putArray("pieces");
+        for (Piece piece : pieces.values()) {
+            list.addObject().put("piece", piece.task).put("tryNo", piece.attempt).put("status", piece.state)
+                    .put("exitCause", piece.exit);
+        }
+        byte[] before = Json.bytes(list);
+        caller.call(new Call(controllers.get(nodes.get(node)), "POST", "/hello", Json.bytes(body)), 4000,
+                answer -> answered(answer, sentAt, sentSession, before));
+    }
+
+    private void answered(Answer answer, long sentAt, long sentSession, byte[] before) {
+        inFlight = false;
+        if (dead) {
+            return;
+        }
+        if (answer.status() == 200) {
+            ObjectNode body = Json.object(answer.body());
+            long given = body.path("mandate").asLong(-1);
+            boolean news = given > token;
+            if (given >= token && sentSession == session) {
+                token = given;
+                if (!hanging) {
+                    leaseFrom = Math.max(leaseFrom, sentAt);
+                    watchLease();
+                    for (JsonNode order : body.path("orders")) {
+                        execute(order);
+                    }
+                }
+            }
+            ObjectNode now = Json.object();
+            ArrayNode list = now.putArray("pieces");
+            for (Piece piece : pieces.values()) {
+                list.addObject().put("piece", piece.task).put("tryNo", piece.attempt).put("status", piece.state)
+                        .put("exitCause", piece.exit);
+            }
+            boolean changed = news || !java.util.Arrays.equals(before, Json.bytes(list)) || sentSession != session;
+            reportAt(changed ? simulation.now() : lastReport + reportMs * 3 / 4 + sequence * 131 % (reportMs / 2));
+        } else if (answer.status() == 421) {
+            String leader = Json.object(answer.body()).path("foreman").asText();
+            if (nodes.contains(leader) && nodes.indexOf(leader) != node) {
+                node = nodes.indexOf(leader);
+                reportAt(simulation.now() + 100);
+            } else {
+                nextNode();
+            }
+        } else {
+            nextNode();
+        }
+    }
+
+    private void nextNode() {
+        node = (node + 1) % nodes.size();
+        reportAt(simulation.now() + 1000);
+    }
+
+    private void execute(JsonNode order) {
+        String task = order.path("piece").asText();
+        long attempt = order.path("tryNo").asLong();
+        String key = task + "#" + attempt;
+        Piece piece = pieces.get(key);
+        switch (order.path("orderKind").asText()) {
+            case "run" -> {
+                if (piece == null) {
+                    start(key, new Piece(task, attempt));
+                }
+            }
+            case "halt" -> {
+                if (piece != null && piece.live()) {
+                    stop(piece, order.path("windDownS").asDouble());
+                }
+            }
+            default -> {
+                if (piece != null && !piece.live()) {
+                    pieces.remove(key);
+                }
+            }
+        }
+    }
+
+    private void start(String key, Piece piece) {
+        String job = piece.task.split("/")[0];
+        boolean present = pieces.values().stream().anyMatch(p -> p.live() && p.task.equals(piece.task));
+        pieces.put(key, piece);
+        Amounts demand = jobs.demand(job);
+        Amounts used = Amounts.NONE;
+        for (Piece other : pieces.values()) {
+            if (other.live() && other != piece) {
+                used = used.plus(jobs.demand(other.task.split("/")[0]));
+            }
+        }
+        if (demand == null) {
+            exit(piece, "unknown");
+        } else if (present) {
+            exit(piece, "in_use");
+        } else if (!demand.fitsIn(type.size().minus(used))) {
+            exit(piece, "full");
+        } else {
+            simulation.after(FETCH_MS, () -> run(key, piece, job));
+        }
+    }
+
+    private boolean here(String key, Piece piece) {
+        return !dead && pieces.get(key) == piece && piece.live();
+    }
+
+    private void run(String key, Piece piece, String job) {
+        if (!here(key, piece)) {
+            return;
+        }
+        piece.state = "running";
+        piece.startedAt = simulation.now();
+        rules.started(name, piece.task, type.name(), zone, spot);
+        change();
+        long rest = rules.isComplete(piece.task) ? 0 : jobs.runMs(job) - saved.getOrDefault(piece.task, 0L);
+        simulation.after(Math.max(10, sick ? 200 : rest), () -> {
+            if (here(key, piece) && piece.state.equals("running")) {
+                rules.left(name, piece.task);
+                if (sick || jobs.failsEverywhere(job)) {
+                    exit(piece, "error");
+                } else {
+                    rules.completed(piece.task);
+                    exit(piece, "done");
+                }
+            }
+        });
+    }
+
+    private void stop(Piece piece, double graceS) {
+        String job = piece.task.split("/")[0];
+        if (piece.state.equals("running") && graceS > 0 && jobs.saves(job)) {
+            piece.state = "saving";
+            simulation.after(1000, () -> {
+                if (!dead && pieces.containsValue(piece) && piece.state.equals("saving")) {
+                    saved.merge(piece.task, simulation.now() - piece.startedAt, Long::sum);
+                    rules.left(name, piece.task);
+                    exit(piece, "stopped");
+                }
+            });
+            change();
+        } else if (piece.state.equals("saving") && graceS > 0) {
+            return;
+        } else {
+            if (!piece.state.equals("fetching")) {
+                rules.left(name, piece.task);
+            }
+            exit(piece, "stopped");
+        }
+    }
+
+    private void exit(Piece piece, String why) {
+        piece.state = "exited";
+        piece.exit = why;
+        change();
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/World.java
@@ -0,0 +1,281 @@
+package notchpick.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import notchpick.app.Controller;
+import notchpick.bookkeeping.Records;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Deployment.Limit;
+import notchpick.coordination.Deployment.Peer;
+import notchpick.coordination.Tuning;
+import notchpick.protocol.InvalidMessage;
+import notchpick.protocol.Json;
+import notchpick.protocol.UserWire;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.MachineType;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+
+/** A whole deployment in simulated time: real controllers among stand-ins. */
+public final class World implements WorkerStandIn.Jobs {
+    public static final double REPORT_S = 3;
+    public static final double LEASE_S = 20;
+    public static final double CANCEL_S = 40;
+    private static final String STATE = "10.2.0.1:2379";
+    private static final String CLOUD = "10.2.0.2:8443";
+
+    /** A job as the scenario describes it, beyond what the service is told. */
+    private record Truth(JobSpec spec, ObjectNode body, long runMs, boolean fails) {}
+
+    private final Simulation simulation = new Simulation();
+    private final Network network = new Network(simulation);
+    private final Map<String, Integer> lives = new HashMap<>();
+    private final Map<String, Controller> controllers = new LinkedHashMap<>();
+    private final Map<String, String> addresses = new LinkedHashMap<>();
+    private final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+    private final Map<String, String> zones = new HashMap<>();
+    private final Map<String, Long> saved = new HashMap<>();
+    private final Map<String, Truth> truths = new LinkedHashMap<>();
+    private final Map<String, String> status = new LinkedHashMap<>();
+    private final Map<String, Integer> lastStatus = new HashMap<>();
+    private final List<Limit> teams;
+    private final RuleBook rules;
+    private final StateStandIn state;
+    private final CloudStandIn cloud;
+    private final List<String> nodes = new ArrayList<>();
+    private int turn;
+
+    public World(int count, List<Limit> teams, List<MachineType> machineTypes) {
+        this.teams = teams;
+        Map<String, Double> limits = new HashMap<>();
+        teams.stream().filter(t -> t.most().cores() > 0).forEach(t -> limits.put(t.team(), t.most().cores()));
+        rules = new RuleBook(simulation::now, (long) (CANCEL_S * 1000), limits);
+        state = new StateStandIn(simulation::now, simulation::after, 12);
+        Map<String, MachineType> types = new LinkedHashMap<>();
+        machineTypes.forEach(type -> types.put(type.name(), type));
+        for (int i = 0; i < count; i++) {
+            nodes.add("node-" + i);
+            addresses.put("node-" + i, "10.0.0." + (i + 1) + ":8080");
+        }
+        cloud = new CloudStandIn(simulation::now, simulation::after, types, this::up, this::gone);
+        network.serve(STATE, "state", state);
+        network.serve(CLOUD, "cloud", cloud);
+        nodes.forEach(this::begin);
+    }
+
+    public Simulation simulation() {
+        return simulation;
+    }
+
+    public Network network() {
+        return network;
+    }
+
+    public StateStandIn state() {
+        return state;
+    }
+
+    public CloudStandIn cloud() {
+        return cloud;
+    }
+
+    public RuleBook rules() {
+        return rules;
+    }
+
+    public List<String> nodes() {
+        return nodes;
+    }
+
+    public List<WorkerStandIn> workers() {
+        return List.copyOf(workers.values());
+    }
+
+    /** Names of the machines that are up, in the order in which they came up. */
+    public List<String> machines() {
+        return List.copyOf(workers.keySet());
+    }
+
+    public WorkerStandIn worker(String name) {
+        return workers.get(name);
+    }
+
+    public String told(String job) {
+        return status.getOrDefault(job, "nothing");
+    }
+
+    public int lastStatus(String job) {
+        return lastStatus.getOrDefault(job, 0);
+    }
+
+    public String leader() {
+        var value = state.value(Records.LEADER);
+        return value == null ? null : value.path("node").asText();
+    }
+
+    private static String peerAddress(int index) {
+        return "10.0.0." + (index + 1) + ":8081";
+    }
+
+    public void begin(String node) {
+        int index = nodes.indexOf(node);
+        int life = lives.merge(node, 1, Integer::sum);
+        List<Peer> peers = new ArrayList<>();
+        for (String other : nodes) {
+            if (!other.equals(node)) {
+                peers.add(new Peer(other, peerAddress(nodes.indexOf(other))));
+            }
+        }
+        Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
+                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, 300, 100, 12, 10,
+                3, 1000);
+        // Clocks at the edges of their bounds.
+        double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
+        var loop = simulation.loop(fast, index * 100L - 100, () -> lives.get(node) == life);
+        Controller controller = new Controller(loop, deployment, Tuning.DEFAULT,
+                network.from(node, () -> lives.get(node) == life), new Random(7L * index + life));
+        controllers.put(node, controller);
+        network.serve(addresses.get(node), node, controller::serve);
+        network.serve(peerAddress(index), node, controller::servePeer);
+        controller.tell(new Controller.Begin());
+    }
+
+    public void crash(String node, long restartMs) {
+        int index = nodes.indexOf(node);
+        lives.merge(node, 1, Integer::sum);
+        network.vanish(addresses.get(node));
+        network.vanish(peerAddress(index));
+        if (restartMs >= 0) {
+            simulation.after(restartMs, () -> begin(node));
+        }
+    }
+
+    private void up(CloudStandIn.Rented rented) {
+        zones.put(rented.name, rented.zone);
+        workers.put(rented.name, new WorkerStandIn(simulation, network.from(rented.name, () -> true), rules, this,
+                rented.name, rented.type, rented.zone, rented.spot, addresses, (long) (REPORT_S * 1000),
+                (long) (LEASE_S * 1000), saved));
+    }
+
+    private void gone(String name) {
+        WorkerStandIn worker = workers.remove(name);
+        if (worker != null) {
+            worker.die();
+        }
+    }
+
+    // ---- users ---------------------------------------------------------------------------------
+
+    public void submit(ObjectNode body, double runS, boolean fails) throws InvalidMessage {
+        JobSpec spec = UserWire.submission(body, 0);
+        truths.put(spec.id(), new Truth(spec, body, (long) (runS * 1000), fails));
+        rules.submitted(spec);
+        submit(spec.id(), body, simulation.now() + 60_000);
+    }
+
+    private String anyNode() {
+        for (int i = 0; i < nodes.size(); i++) {
+            String node = nodes.get(turn++ % nodes.size());
+            if (lives.get(node) % 2 == 1) {
+                return node;
+            }
+        }
+        return nodes.get(0);
+    }
+
+    /** Sends a body of whatever kind once and notes the status. */
+    public void send(String job, byte[] body) {
+        call("POST", "/submissions", body, answer -> lastStatus.put(job, answer.status()));
+    }
+
+    private void submit(String job, ObjectNode body, long until) {
+        call("POST", "/submissions", Json.bytes(body), answer -> {
+            lastStatus.put(job, answer.status());
+            note(job, answer);
+            if (answer.status() / 100 == 2) {
+                simulation.after(5000, () -> poll(job));
+            } else if (answer.status() != 400 && answer.status() != 422 && simulation.now() < until) {
+                simulation.after(1000, () -> submit(job, body, until));
+            }
+        });
+    }
+
+    public void resubmit(String job) {
+        call("POST", "/submissions", Json.bytes(truths.get(job).body()), answer -> {
+            lastStatus.put(job, answer.status());
+            note(job, answer);
+        });
+    }
+
+    public void poll(String job) {
+        call("GET", "/submissions/" + job, null, answer -> {
+            lastStatus.put(job, answer.status());
+            note(job, answer);
+            String told = told(job);
+            if (truths.containsKey(job) && !told.equals("done") && !told.equals("cancelled")) {
+                simulation.after(5000, () -> poll(job));
+            }
+        });
+    }
+
+    public void cancel(String job) {
+        rules.cancelAsked(job);
+        call("POST", "/submissions/" + job + "/abort", new byte[0], answer -> {
+            note(job, answer);
+            if (answer.status() != 200) {
+                simulation.after(1000, () -> cancel(job));
+            }
+        });
+    }
+
+    private void call(String method, String path, byte[] body, java.util.function.Consumer<Answer> then) {
+        String node = anyNode();
+        network.from("user", () -> true).call(new Call(addresses.get(node), method, path, body), 5000, then);
+    }
+
+    private void note(String job, Answer answer) {
+        ObjectNode body = answer.body().length == 0 ? null : Json.object(answer.body());
+        String state = body == null ? null : body.path("status").asText(null);
+        rules.answered(job, answer.status(), state);
+        if (answer.status() / 100 == 2) {
+            status.put(job, state);
+        }
+    }
+
+    // ---- what is true of the jobs --------------------------------------------------------------
+
+    @Override
+    public Amounts demand(String job) {
+        return truths.containsKey(job) ? truths.get(job).spec().demand() : null;
+    }
+
+    @Override
+    public long runMs(String job) {
+        return truths.get(job).runMs();
+    }
+
+    @Override
+    public boolean saves(String job) {
+        return truths.get(job).spec().checkpointS() > 0;
+    }
+
+    @Override
+    public boolean failsEverywhere(String job) {
+        return truths.get(job).fails();
+    }
+
+    public void capacity(String type, String zone, boolean spot, int most) {
+        cloud.capacity(new Pool(type, zone, spot), most);
+    }
+
+    public String zone(String machine) {
+        return zones.get(machine);
+    }
+}
