--- a/src/main/java/notchpick/bookkeeping/Job.java
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -24,6 +24,8 @@
     /** Since when its next task has been skipped for want of room; 0: not at all. */
     public long skippedSince;
     public int running;
+    /** Whether it would be late on cheap machines alone. */
+    public boolean pressed;
 
     public Job(JobSpec spec, long version) {
         this.spec = spec;
@@ -42,6 +44,11 @@
         return !spec.isService() && done.cardinality() == spec.tasks();
     }
 
+    /** Ordinary machines are for jobs that need them, by their users' word or to be in time. */
+    public boolean mayUseOrdinary() {
+        return pressed || !spec.spot();
+    }
+
     public boolean waits() {
         return !pending.isEmpty();
     }
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -122,10 +122,17 @@
         }
         order.sort(JobOrder.at(loop.wallTime(), deployment.withinS(), 1));
         Map<String, Amounts> byTeam = new HashMap<>();
+        double cores = 0;
+        for (Machine machine : roster.machines.values()) {
+            cores += machine.life == Life.BOOTING || machine.life == Life.UP ? machine.size.cores() : 0;
+        }
+        double aheadS = 0;
         List<Need> needs = new ArrayList<>();
         for (Waiting waiting : order) {
             JobSpec spec = waiting.spec();
-            int tasks = jobs.get(spec).unfinished();
+            Job job = jobs.get(spec);
+            aheadS += waiting.remainingS();
+            int tasks = job.unfinished();
             Deployment.Limit limit = deployment.limit(spec.team());
             Amounts before = byTeam.getOrDefault(spec.team(), Amounts.NONE);
             if (limit != null && limit.most().cores() > 0 && spec.demand().cores() > 0) {
@@ -134,14 +141,26 @@
                 tasks = Math.min(tasks, (int) Math.max(0, room / spec.demand().cores()));
             }
             if (tasks > 0) {
-                byTeam.merge(spec.team(), spec.demand().times(tasks), Amounts::plus);
-                boolean pressed = spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
-                needs.add(new Need(spec, tasks, waiting.runS(), pressed));
+                Amounts after = byTeam.merge(spec.team(), spec.demand().times(tasks), Amounts::plus);
+                boolean atOnce = limit != null && limit.guarantees(after);
+                job.pressed = atOnce || isPressed(waiting, cores > 0 ? aheadS / cores : Double.MAX_VALUE);
+                needs.add(new Need(spec, tasks, waiting.runS(), job.pressed, atOnce));
             }
         }
         return needs;
     }
 
+    /** Whether what there is would finish an urgent job too late, while more machines still could help. */
+    private boolean isPressed(Waiting waiting, double queueS) {
+        JobSpec spec = waiting.spec();
+        Double dueS = spec.deadlineS() != null ? spec.deadlineS() : deployment.withinS().get(spec.jobClass());
+        if (dueS == null || spec.priority().ordinal() > JobSpec.Priority.HIGH.ordinal()) {
+            return false;
+        }
+        double leftS = dueS - (loop.wallTime() - spec.submittedAt()) / 1000.0 - waiting.runS();
+        return leftS > 0 && queueS > leftS;
+    }
+
     private void rent(Pool pool, int count) {
         String request = requestPrefix + ++lastRequest;
         asked.put(pool, count);
@@ -182,7 +201,7 @@
                 }
             }
             case UP -> {
-                if (machine.isIdle() && unneeded && now - machine.idleSince > 2 * reportMs) {
+                if (machine.isIdle() && unneeded && now - machine.idleSince > keepIdleMs(machine)) {
                     machine.life = Life.RELEASED;
                 } else if (now - machine.reportedAt > deployment.workerLeaseS() * 500 && !mostAreSilent(now)) {
                     LOG.info("machine {} is silent", machine.name);
@@ -201,6 +220,11 @@
         }
     }
 
+    /** A cheap machine is kept for as long as another would take to boot; an ordinary one hardly at all. */
+    private double keepIdleMs(Machine machine) {
+        return machine.spot() ? bootMs(machine.type()) : 2000 * deployment.reportS();
+    }
+
     /** If so, it is this controller that is out of reach rather than they. */
     private boolean mostAreSilent(long now) {
         int up = 0;
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -208,6 +208,7 @@
             Map<String, Integer> zones = constrained(job.spec) ? zonesOf(job, turn.leased) : Map.of();
             Machine machine = Packing.choose(open, job.spec,
                     m -> zoneAllows(job.spec, zones, m.zone())
+                            && (m.spot() || job.mayUseOrdinary())
                             && !m.failedJobs.contains(job.spec.id())
                             && (barred.get(m) == null || barred.get(m) == turn));
             if (machine == null) {
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -23,8 +23,9 @@
      * @param tasks its unfinished tasks, running ones included
      * @param runS what one task is expected to run
      * @param pressed whether its users can't wait for cheap machines
+     * @param atOnce whether all its tasks should run side by side
      */
-    public record Need(JobSpec spec, int tasks, double runS, boolean pressed) {}
+    public record Need(JobSpec spec, int tasks, double runS, boolean pressed, boolean atOnce) {}
 
     /** A machine that is up or will be. */
     public record Owned(String name, Pool pool, Amounts size, boolean idle) {}
@@ -100,7 +101,7 @@
 
     /** As many tasks at once as finish the job's rest within the horizon. */
     private static int wanted(Need need, double horizonS) {
-        if (need.spec().isService()) {
+        if (need.atOnce() || need.spec().isService()) {
             return need.tasks();
         }
         double rounds = Math.max(1, Math.floor(horizonS / Math.max(need.runS(), 1)));
@@ -109,7 +110,8 @@
 
     private static int pack(Need need, Slot slot, int wanted) {
         JobSpec spec = need.spec();
-        if (!spec.allows(slot.pool.type(), slot.pool.zone(), slot.pool.spot())) {
+        if (!spec.allows(slot.pool.type(), slot.pool.zone(), slot.pool.spot())
+                || !slot.pool.spot() && spec.spot() && !need.pressed()) {
             return 0;
         }
         int count = Math.min(wanted, spec.demand().countIn(slot.room));
