--- a/src/main/java/notchpick/bookkeeping/Job.java
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -44,9 +44,12 @@
         return !spec.isService() && done.cardinality() == spec.tasks();
     }
 
+    /** Whether no cheap machine was to be had that could run it; stays so, lest its machine goes again. */
+    public boolean stranded;
+
     /** Ordinary machines are for jobs that need them, by their users' word or to be in time. */
     public boolean mayUseOrdinary() {
-        return pressed || !spec.spot();
+        return pressed || stranded || !spec.spot();
     }
 
     public boolean waits() {
--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -1,5 +1,6 @@
 package notchpick.bookkeeping;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -38,8 +39,8 @@
     public Double noticeS;
     public long idleSince;
     public long quarantinedUntil;
-    /** Jobs whose tasks failed here since one last succeeded. */
-    public final Set<String> failedJobs = new HashSet<>();
+    /** Jobs whose tasks failed here since one last succeeded, and when. */
+    public final Map<String, Long> failedJobs = new HashMap<>();
     public boolean recorded;
     public boolean releaseDurable;
     public boolean releasing;
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -144,7 +144,8 @@
                 Amounts after = byTeam.merge(spec.team(), spec.demand().times(tasks), Amounts::plus);
                 boolean atOnce = limit != null && limit.guarantees(after);
                 job.pressed = atOnce || isPressed(waiting, cores > 0 ? aheadS / cores : Double.MAX_VALUE);
-                needs.add(new Need(spec, tasks, waiting.runS(), job.pressed, atOnce));
+                job.stranded |= isStranded(spec);
+                needs.add(new Need(spec, tasks, waiting.runS(), job.mayUseOrdinary(), atOnce));
             }
         }
         return needs;
@@ -161,6 +162,25 @@
         return leftS > 0 && queueS > leftS;
     }
 
+    /** Whether no machine it may use is rented cheaply, nor can be: it would wait for ever. */
+    private boolean isStranded(JobSpec spec) {
+        for (Machine machine : roster.machines.values()) {
+            if (machine.spot() && machine.life != Life.RELEASED && spec.demand().fitsIn(machine.size)
+                    && spec.allows(machine.type(), machine.zone(), true)) {
+                return false;
+            }
+        }
+        for (MachineType type : types.values()) {
+            for (String zone : type.zones()) {
+                if (spec.allows(type.name(), zone, true) && spec.demand().fitsIn(type.size())
+                        && refusedUntil.getOrDefault(new Pool(type.name(), zone, true), 0L) <= loop.now()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
     private void rent(Pool pool, int count) {
         String request = requestPrefix + ++lastRequest;
         asked.put(pool, count);
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -39,6 +39,9 @@
     /** Lease numbers carry the term above this many bits, so that they rise over all terms. */
     private static final int LEASE_BITS = 24;
 
+    /** So many report periods a job stays away from a machine on which a task of it failed. */
+    private static final int SHUN_REPORTS = 20;
+
     private final EventLoop loop;
     private final Deployment deployment;
     private final Tuning tuning;
@@ -194,6 +197,8 @@
     /** Grants room to the team's next task that fits; false if none does. */
     private boolean grantOne(Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
         Deployment.Limit limit = deployment.limit(turn.team);
+        // Not for ever: where machines are few, the only one that fits may have failed it once.
+        long shunMs = (long) (deployment.reportS() * 1000 * SHUN_REPORTS);
         for (int i = 0; i < turn.jobs.size();) {
             Job job = turn.jobs.get(i);
             if (job.pending.isEmpty()) {
@@ -209,7 +214,7 @@
             Machine machine = Packing.choose(open, job.spec,
                     m -> zoneAllows(job.spec, zones, m.zone())
                             && (m.spot() || job.mayUseOrdinary())
-                            && !m.failedJobs.contains(job.spec.id())
+                            && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
                             && (barred.get(m) == null || barred.get(m) == turn));
             if (machine == null) {
                 skip(job, turn, open, barred, now);
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -548,13 +548,13 @@
     /** A machine is blamed only for jobs that have not failed on several machines. */
     private void failed(Machine machine, Job job, Binding binding, long now) {
         log.info("task {} failed on {}", binding.taskName(), machine.name);
-        machine.failedJobs.add(binding.spec.id());
+        machine.failedJobs.put(binding.spec.id(), now);
         if (job == null) {
             return;
         }
         job.failures++;
         long elsewhere = roster.machines.values().stream()
-                .filter(other -> other != machine && other.failedJobs.contains(binding.spec.id())).count();
+                .filter(other -> other != machine && other.failedJobs.containsKey(binding.spec.id())).count();
         if (elsewhere >= 2) {
             job.notBefore = now + (long) (deployment.reportS() * 1000 * Math.min(20, job.failures));
         } else if (machine.failedJobs.size() >= 2 && machine.life == Life.UP) {
--- /dev/null
+++ b/src/test/java/notchpick/app/SettingsTest.java
@@ -0,0 +1,81 @@
+package notchpick.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Tuning;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+class SettingsTest {
+    private static final String GOOD = """
+            {"node":"n-0","location":"east","serve_on":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081",
+             "known":[{"node":"n-1","location":"west","addr":"10.0.0.2:8081"}],
+             "outside":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},"new":1,
+             "deployment":{"zones":["east","west"],
+              "teams":[{"name":"a","cpus":8,"cpus_max":0}],
+              "objectives":[{"kind":"finished","class":"c","within_s":150},{"kind":"wait","class":"c","within_s":90}],
+              "workers":{"report_s":3,"lease_s":22,"cancel_s":42},
+              "state":{"rps":250,"write_rps":100,"value_kb":32,"txn_ops":12},
+              "cloud":{"rps":6,"list_lag_s":3},"machine_limits":{"cpu":0.2,"mem_mb":205,"fd_limit":1500}}}""";
+
+    @TempDir
+    private Path folder;
+
+    private Path file(String name, String text) throws Exception {
+        return Files.writeString(folder.resolve(name), text);
+    }
+
+    @Test
+    void readsWhatThePlatformSays() throws Exception {
+        Deployment deployment = Settings.read(file("s.json", GOOD));
+        assertEquals(2, deployment.controllers());
+        assertEquals(90.0, deployment.withinS().get("c"));
+        assertTrue(deployment.limit("a").allows(new notchpick.scheduling.Amounts(1000, 0, 0)));
+    }
+
+    @Test
+    void theGraceOfALapsedLeaderFitsIntoACancellationsTime() throws Exception {
+        Deployment deployment = Settings.read(file("s.json", GOOD));
+        // 42 s less the worker's lease of 22, the leader's of 5.5 and two reports.
+        assertEquals(8500, deployment.graceMs(5.5));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'\"node\":\"n-0\",', '', node", "10.0.0.1:8080, here, serve_on", "'\"rps\":250', '\"rps\":0', state.rps",
+        "'\"lease_s\":22', '\"lease_s\":\"x\"', workers.lease_s", "'\"teams\":[', '\"team\":[', teams"})
+    void namesTheFieldThatIsWrong(String what, String instead, String named) throws Exception {
+        Path file = file("s.json", GOOD.replace(what, instead));
+        Settings.Unusable fault = assertThrows(Settings.Unusable.class, () -> Settings.read(file));
+        assertTrue(fault.getMessage().contains(named), fault.getMessage());
+        assertEquals(1, fault.getMessage().lines().count());
+    }
+
+    @Test
+    void tuningHasDefaultsAndASchema() throws Exception {
+        assertEquals(Tuning.DEFAULT, TuningFile.read(file("t.json", "{}")));
+        assertEquals(60, TuningFile.read(file("t.json", "{\"commitmentMemoryS\":60}")).tauS());
+        for (String wrong : new String[] {"{\"commitmentMemoryS\":-1}", "{\"commitmentMemory\":60}"}) {
+            Path file = file("t.json", wrong);
+            Settings.Unusable fault = assertThrows(Settings.Unusable.class, () -> TuningFile.read(file));
+            assertTrue(fault.getMessage().contains("commitmentMemory"), fault.getMessage());
+        }
+    }
+
+    @Test
+    void theCommandTellsFailureByItsStatus() throws Exception {
+        String good = file("s.json", GOOD).toString();
+        assertEquals(0, new CommandLine(new Main()).execute("--check", "--config", good));
+        assertEquals(2, new CommandLine(new Main()).execute("--check", "--config", good + "x"));
+        assertEquals(2, new CommandLine(new Main()).execute("--check", "--config", good, "--tuning",
+                file("t.json", "[]").toString()));
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/protocol/UserWireTest.java
@@ -0,0 +1,70 @@
+package notchpick.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import notchpick.bookkeeping.Records;
+import notchpick.scheduling.JobSpec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class UserWireTest {
+    private static final String GOOD = """
+            {"ref":"run-000412","workclass":"train","ownerDesk":"vision","jobForm":"sweep","urgency":"high","pieces":16,
+             "cores":8.0,"gpus":1.0,"ramGb":64.0,"bundle":"img-07","sizeGb":6.2,"boxKinds":["g8"],"site":null,
+             "oneZone":true,"apart":false,"borrowed":true,"expectedS":240.0,"bookmarkS":30.0,"bookmarkWriteS":4.0,
+             "dueS":900.0,"later":"ignored"}""";
+
+    private static ObjectNode json(String text) {
+        return Json.object(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void readsAndKeepsASubmission() throws InvalidMessage {
+        JobSpec spec = UserWire.submission(json(GOOD), 5);
+        assertEquals(16, spec.tasks());
+        assertEquals(900.0, spec.deadlineS());
+        assertEquals(spec, Records.spec("run-000412", json(Records.spec(spec).toString())));
+    }
+
+    @Test
+    void nullMayBeLeftOut() throws InvalidMessage {
+        ObjectNode body = json(GOOD);
+        body.remove("site");
+        body.remove("dueS");
+        body.putNull("boxKinds");
+        assertNull(UserWire.submission(body, 0).types());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "\"jobForm\":\"gang\"", "\"urgency\":\"asap\"", "\"pieces\":0", "\"pieces\":100001", "\"pieces\":1.5",
+        "\"pieces\":\"4\"", "\"cores\":-1", "\"cores\":null", "\"ref\":\"job-1\"", "\"ref\":7", "\"oneZone\":1",
+        "\"boxKinds\":[]", "\"boxKinds\":[3]", "\"bundle\":\"\"", "\"dueS\":\"soon\"", "\"ownerDesk\":null"})
+    void refusesWhatIsMissingOrOutOfRange(String wrong) {
+        ObjectNode body = json(GOOD);
+        ObjectNode patch = json("{" + wrong + "}");
+        body.setAll(patch);
+        assertThrows(InvalidMessage.class, () -> UserWire.submission(body, 0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "7", "null", "{} {}"})
+    void onlyObjectsAreRead(String text) {
+        assertNull(json(text));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "{}", "{\"box\":\"m-1\"}",
+        "{\"box\":\"m\",\"boxKind\":\"t\",\"site\":\"a\",\"borrowed\":true,\"shift\":-1,\"tally\":1,\"mandate\":1}",
+        "{\"box\":\"m\",\"boxKind\":\"t\",\"site\":\"a\",\"borrowed\":true,\"shift\":1,\"tally\":1,\"mandate\":1,"
+                + "\"pieces\":[{\"piece\":\"x\",\"tryNo\":1,\"status\":\"running\"}]}"})
+    void refusesMalformedReports(String text) {
+        assertThrows(InvalidMessage.class, () -> WorkerWire.report(json(text)));
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/standin/RuleBookTest.java
@@ -0,0 +1,116 @@
+package notchpick.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.JobSpec;
+import org.junit.jupiter.api.Test;
+
+/** Each check of a rule can fail; otherwise the scenarios would show nothing. */
+class RuleBookTest {
+    private long now;
+    private final RuleBook rules = new RuleBook(() -> now, 40_000, Map.of("a", 8.0));
+
+    private void submit(String id, int tasks, boolean oneZone, boolean spread, boolean spot) {
+        rules.submitted(new JobSpec(id, "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, tasks,
+                new Amounts(4, 0, 1), List.of("m8"), null, oneZone, spread, spot, "i", 1, 1, 0, 0, null, 0));
+    }
+
+    private void broken(String rule) {
+        assertEquals(1, rules.breaches().size(), () -> rules.breaches().toString());
+        assertTrue(rules.breaches().get(0).startsWith(rule), () -> rules.breaches().toString());
+    }
+
+    @Test
+    void ranTwice() {
+        submit("run-1", 1, false, false, true);
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.started("m-2", "run-1/0", "m8", "east", true);
+        broken("ran_twice");
+    }
+
+    @Test
+    void quota() {
+        submit("run-1", 3, false, false, true);
+        for (int task = 0; task < 3; task++) {
+            rules.started("m-1", "run-1/" + task, "m8", "east", true);
+        }
+        broken("quota");
+    }
+
+    @Test
+    void wrongPlaceByTypeZoneOrKind() {
+        submit("run-1", 1, false, false, false);
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        broken("wrong_place");
+    }
+
+    @Test
+    void wrongPlaceByFellows() {
+        submit("run-1", 2, true, false, true);
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.started("m-2", "run-1/1", "m8", "west", true);
+        broken("wrong_place");
+    }
+
+    @Test
+    void wrongPlaceBySpread() {
+        submit("run-1", 2, false, true, true);
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.started("m-2", "run-1/1", "m8", "east", true);
+        broken("wrong_place");
+    }
+
+    @Test
+    void ranCancelled() {
+        submit("run-1", 1, false, false, true);
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.cancelAsked("run-1");
+        rules.answered("run-1", 200, "cancelled");
+        now = 39_000;
+        assertEquals(List.of(), rules.breaches());
+        now = 41_000;
+        broken("ran_cancelled");
+    }
+
+    @Test
+    void forgotten() {
+        submit("run-1", 1, false, false, true);
+        rules.answered("run-1", 201, "queued");
+        rules.answered("run-1", 404, null);
+        broken("forgotten");
+    }
+
+    @Test
+    void invented() {
+        rules.answered("run-9", 200, "queued");
+        broken("invented");
+    }
+
+    @Test
+    void notDone() {
+        submit("run-1", 2, false, false, true);
+        rules.completed("run-1/0");
+        rules.answered("run-1", 200, "done");
+        broken("not_done");
+    }
+
+    @Test
+    void wentBack() {
+        submit("run-1", 1, false, false, true);
+        rules.completed("run-1/0");
+        rules.answered("run-1", 200, "done");
+        rules.answered("run-1", 200, "running");
+        broken("went_back");
+    }
+
+    @Test
+    void cancelledByNobody() {
+        submit("run-1", 1, false, false, true);
+        rules.answered("run-1", 200, "cancelled");
+        broken("went_back");
+    }
+}
--- /dev/null
+++ b/src/test/java/notchpick/transport/SocketTest.java
@@ -0,0 +1,92 @@
+package notchpick.transport;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.Caller.Call;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Server and client over real sockets. */
+class SocketTest {
+    private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+    private String address;
+    private JettyServer server;
+    private JettyCaller caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            address = "127.0.0.1:" + socket.getLocalPort();
+        }
+        threads.start();
+        scheduler.start();
+        Handler echo = (call, reply) -> {
+            if (call.path().equals("/never")) {
+                return;
+            }
+            if (call.path().equals("/broken")) {
+                throw new IllegalStateException("broken");
+            }
+            byte[] body = call.body().length > 0 ? call.body()
+                    : (call.method() + " " + call.path()).getBytes(StandardCharsets.UTF_8);
+            reply.accept(new Answer(201, body));
+        };
+        server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(), Map.of(address, echo), "", 30_000);
+        server.start();
+        caller = new JettyCaller(threads, scheduler, 4, 1000);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.stop();
+        scheduler.stop();
+        threads.stop();
+    }
+
+    private Answer call(String method, String path, byte[] body, long timeoutMs) throws Exception {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        caller.call(new Call(address, method, path, body), timeoutMs, answer::complete);
+        return answer.get(30, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void carriesMethodPathAndBody() throws Exception {
+        Answer answer = call("GET", "/a/b?c=d", null, 20_000);
+        assertEquals(201, answer.status());
+        assertEquals("GET /a/b?c=d", new String(answer.body(), StandardCharsets.UTF_8));
+        byte[] body = new byte[60_000];
+        body[5] = 7;
+        assertArrayEquals(body, call("POST", "/x", body, 20_000).body());
+    }
+
+    @Test
+    void refusesBodiesOverTheLimit() throws Exception {
+        assertEquals(400, call("POST", "/x", new byte[70_000], 20_000).status());
+        assertEquals(201, call("POST", "/x", new byte[60_000], 20_000).status());
+    }
+
+    @Test
+    void noAnswerInTimeAndNoServerAreBothNone() throws Exception {
+        assertEquals(0, call("GET", "/never", null, 200).status());
+        address = "127.0.0.1:1";
+        assertEquals(0, call("GET", "/x", null, 2000).status());
+    }
+
+    @Test
+    void aHandlerThatFailsEndsItsRequestOnly() throws Exception {
+        assertEquals(500, call("GET", "/broken", null, 20_000).status());
+        assertEquals(201, call("GET", "/x", null, 20_000).status());
+    }
+}
