--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -41,8 +41,11 @@
 import notchpick.protocol.WorkerWire.TaskReport;
 import notchpick.protocol.peer.Progress;
 import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Consolidation;
+import notchpick.scheduling.Consolidation.Candidate;
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.MachineType;
 import notchpick.transport.Actor;
 import notchpick.transport.Caller.Answer;
@@ -64,6 +67,8 @@
     /** A report's answer waits this long for what the report made possible, as a part of its period. */
     private static final double HOLD_RATIO = 0.1;
     private static final long ROUND_DELAY_MS = 15;
+    /** Users count a start only if the task is then left alone for half a minute. */
+    private static final double SETTLED_IN_S = 35;
 
     private final Deployment deployment;
     private final Tuning tuning;
@@ -714,10 +719,50 @@
         }
         if (holdsClaim()) {
             fleet.review();
+            consolidate(now);
             roundSoon();
         }
     }
 
+    /** When nothing waits, half-empty machines whose tasks can save their progress are emptied. */
+    private void consolidate(long now) {
+        if (granting.outstanding() > 0 || roster.jobs.values().stream().anyMatch(Job::waits)) {
+            return;
+        }
+        List<Candidate<Machine>> candidates = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            if (machine.life == Life.LEAVING && !machine.bindings.isEmpty()) {
+                // One at a time.
+                return;
+            }
+            if (granting.usable(machine, now)) {
+                candidates.add(new Candidate<>(machine, movable(machine, now)));
+            }
+        }
+        Machine leaving = Consolidation.find(candidates);
+        if (leaving != null) {
+            log.info("machine {} is emptied", leaving.name);
+            leaving.life = Life.LEAVING;
+            leaving.bindings.values().forEach(binding -> binding.stopGraceS = Math.ceil(binding.spec.saveS()));
+        }
+    }
+
+    /** The machine's tasks, or null if they can't be moved now, or it would not pay. */
+    private List<JobSpec> movable(Machine machine, long now) {
+        List<JobSpec> tasks = new ArrayList<>();
+        for (Binding binding : machine.bindings.values()) {
+            double ranS = (now - binding.runningSince) / 1000.0;
+            double restS = estimates.runS(binding.spec) - ranS;
+            boolean worthIt = restS > 10 * binding.spec.saveS() || restS < 0;
+            if (binding.spec.checkpointS() <= 0 || !binding.running || binding.saving || !worthIt
+                    || binding.spec.oneZone() || binding.spec.spread() || ranS < SETTLED_IN_S) {
+                return null;
+            }
+            tasks.add(binding.spec);
+        }
+        return tasks;
+    }
+
     /** Before the cloud takes a machine, tasks that can save their progress are told to. */
     private void saveWork(Machine machine) {
         for (Binding binding : machine.bindings.values()) {
