--- a/src/main/java/notchpick/bookkeeping/Binding.java
+++ b/src/main/java/notchpick/bookkeeping/Binding.java
@@ -18,6 +18,9 @@
         SEEN
     }
 
+    /** Users count a start only if the task is then left alone for half a minute. */
+    private static final long LEFT_ALONE_MS = 35_000;
+
     public final JobSpec spec;
     public final int task;
     public final Machine machine;
@@ -37,6 +40,12 @@
         this.phase = phase;
     }
 
+    /** Whether stopping the task now loses neither its work nor its users' count of its start. */
+    public boolean mayBeMoved(long now) {
+        return spec.checkpointS() > 0 && running && !saving && stopGraceS == null
+                && now - runningSince >= LEFT_ALONE_MS;
+    }
+
     public String taskName() {
         return spec.id() + "/" + task;
     }
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -25,6 +25,9 @@
 import notchpick.scheduling.JobOrder.Waiting;
 import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.Packing;
+import notchpick.scheduling.Preemption;
+import notchpick.scheduling.Preemption.Starved;
+import notchpick.scheduling.Preemption.Victim;
 import notchpick.scheduling.Sdrf;
 import notchpick.transport.EventLoop;
 import org.slf4j.Logger;
@@ -116,6 +119,8 @@
         private final String team;
         private final List<Job> jobs;
         private final Leased leased;
+        /** Jobs that found no room. */
+        private final List<Job> skipped = new ArrayList<>();
         private Amounts held;
 
         Turn(String team, List<Job> jobs, Leased leased) {
@@ -156,7 +161,7 @@
                 open.add(machine);
             }
         }
-        if (open.isEmpty() || waiting.isEmpty()) {
+        if (waiting.isEmpty()) {
             return;
         }
         List<Turn> active = new ArrayList<>();
@@ -185,6 +190,51 @@
             }
         }
         turns.forEach(turn -> lease(turn.leased));
+        makeRoom(turns, now);
+    }
+
+    /** Has tasks saved and stopped that keep guaranteed or urgent work waiting. */
+    private void makeRoom(List<Turn> turns, long now) {
+        List<Starved> starved = new ArrayList<>();
+        for (Turn turn : turns) {
+            Deployment.Limit limit = deployment.limit(turn.team);
+            Amounts held = turn.held;
+            for (Job job : turn.skipped) {
+                int owed = 0;
+                while (owed < job.pending.cardinality()
+                        && limit.guarantees(held.plus(job.spec.demand().times(owed + 1)))) {
+                    owed++;
+                }
+                held = held.plus(job.spec.demand().times(owed));
+                boolean urgent = job.spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
+                if (owed > 0 || urgent) {
+                    starved.add(new Starved(job.spec, urgent ? job.pending.cardinality() : owed, owed > 0));
+                }
+            }
+        }
+        if (starved.isEmpty()) {
+            return;
+        }
+        double freeing = 0;
+        List<Victim<Binding>> victims = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            for (Binding binding : machine.bindings.values()) {
+                if (binding.stopGraceS != null) {
+                    freeing += binding.spec.demand().cores();
+                } else if (binding.mayBeMoved(now) && usable(machine, now)) {
+                    victims.add(new Victim<>(binding, binding.spec, machine.type(), machine.zone(), machine.spot()));
+                }
+            }
+        }
+        for (Binding binding : Preemption.choose(starved, victims, freeing, this::beyondGuarantee)) {
+            LOG.info("task {} gives way", binding.taskName());
+            binding.stopGraceS = Math.ceil(binding.spec.saveS());
+        }
+    }
+
+    private double beyondGuarantee(String team) {
+        Deployment.Limit limit = deployment.limit(team);
+        return roster.use(team).cores() - (limit == null ? 0 : limit.guarantee().cores());
     }
 
     boolean usable(Machine machine, long now) {
@@ -217,6 +267,7 @@
                             && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
                             && (barred.get(m) == null || barred.get(m) == turn));
             if (machine == null) {
+                turn.skipped.add(job);
                 skip(job, turn, open, barred, now);
                 turn.jobs.remove(i);
                 continue;
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -67,8 +67,6 @@
     /** A report's answer waits this long for what the report made possible, as a part of its period. */
     private static final double HOLD_RATIO = 0.1;
     private static final long ROUND_DELAY_MS = 15;
-    /** Users count a start only if the task is then left alone for half a minute. */
-    private static final double SETTLED_IN_S = 35;
 
     private final Deployment deployment;
     private final Tuning tuning;
@@ -754,8 +752,7 @@
             double ranS = (now - binding.runningSince) / 1000.0;
             double restS = estimates.runS(binding.spec) - ranS;
             boolean worthIt = restS > 10 * binding.spec.saveS() || restS < 0;
-            if (binding.spec.checkpointS() <= 0 || !binding.running || binding.saving || !worthIt
-                    || binding.spec.oneZone() || binding.spec.spread() || ranS < SETTLED_IN_S) {
+            if (!binding.mayBeMoved(now) || !worthIt || binding.spec.oneZone() || binding.spec.spread()) {
                 return null;
             }
             tasks.add(binding.spec);
