--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -207,7 +207,9 @@
                 }
                 held = held.plus(job.spec.demand().times(owed));
                 boolean urgent = job.spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
-                if (owed > 0 || urgent) {
+                // Much room falls free by itself within a report period.
+                boolean waited = now - job.skippedSince >= deployment.reportS() * 1000;
+                if (waited && (owed > 0 || urgent)) {
                     starved.add(new Starved(job.spec, urgent ? job.pending.cardinality() : owed, owed > 0));
                 }
             }
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -74,7 +74,7 @@
                 wanted -= pack(need, slot, wanted);
             }
             while (wanted > 0) {
-                Pool pool = choosePool(need, types, held, refused);
+                Pool pool = choosePool(need, wanted, types, held, refused);
                 if (pool == null) {
                     break;
                 }
@@ -123,10 +123,10 @@
     }
 
     /**
-     * The cheapest pool that the job may use; among equals the one of which least is held, so that
+     * The pool that gives the job its cores most cheaply, a machine's unused rest included; among equals the one of which least is held, so that
      * one wave of taken machines doesn't take all.
      */
-    private static Pool choosePool(Need need, Map<String, MachineType> types, Map<Pool, Integer> held,
+    private static Pool choosePool(Need need, int wanted, Map<String, MachineType> types, Map<Pool, Integer> held,
             Predicate<Pool> refused) {
         Pool best = null;
         double bestPrice = 0;
@@ -142,7 +142,9 @@
                             || refused.test(pool)) {
                         continue;
                     }
-                    double price = pricePerCore(type, spot);
+                    int tasks = Math.min(wanted, need.spec().demand().countIn(type.size()));
+                    double used = Math.max(tasks * need.spec().demand().cores(), 1e-3);
+                    double price = (spot ? type.spotPrice() : type.price()) / used;
                     if (best == null || price < bestPrice
                             || price == bestPrice
                                     && held.getOrDefault(pool, 0) < held.getOrDefault(best, 0)) {
--- a/src/main/java/notchpick/scheduling/Packing.java
+++ b/src/main/java/notchpick/scheduling/Packing.java
@@ -5,6 +5,10 @@
 
 /** Chooses among machines with room. */
 public final class Packing {
+    /** Either outweighs any number of cores, and the latter the former. */
+    private static final double IMAGE_WEIGHT = 1e6;
+    private static final double ORDINARY_WEIGHT = 2e6;
+
     private Packing() {}
 
     /** A machine, or leased room on one, as far as a choice needs it. */
@@ -21,8 +25,8 @@
     }
 
     /**
-     * The best of the sites for one task, or null if none will do: one that has the image, then the
-     * one that the task leaves fullest, so that others fall idle and can be returned.
+     * The best of the sites for one task, or null if none will do: a cheap one, then one that has the
+     * image, then the one that the task leaves fullest, so that others fall idle and can be returned.
      */
     public static <S extends Site> S choose(Collection<S> sites, JobSpec spec, java.util.function.Predicate<S> admits) {
         S best = null;
@@ -33,7 +37,8 @@
                     || !admits.test(site)) {
                 continue;
             }
-            double score = site.room().cores() + (site.images().contains(spec.image()) ? 0 : 1e6);
+            double score = site.room().cores() + (site.images().contains(spec.image()) ? 0 : IMAGE_WEIGHT)
+                    + (site.spot() ? 0 : ORDINARY_WEIGHT);
             if (score < bestScore) {
                 best = site;
                 bestScore = score;
