--- a/src/main/java/notchpick/coordination/Tuning.java
+++ b/src/main/java/notchpick/coordination/Tuning.java
@@ -10,5 +10,5 @@
  * @param leaderLeaseRatio the leader's lease as a part of the workers' lease
  */
 public record Tuning(double tauS, double saveS, long roomLeaseMs, double barringS, double leaderLeaseRatio) {
-    public static final Tuning DEFAULT = new Tuning(120, 10, 400, 20, 0.25);
+    public static final Tuning DEFAULT = new Tuning(120, 10, 400, 20, 0.15);
 }
