--- a/src/main/java/notchpick/transport/JettyCaller.java
+++ b/src/main/java/notchpick/transport/JettyCaller.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
@@ -45,6 +46,7 @@
         client.setConnectTimeout(connectTimeoutMs);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.start();
         client.getContentDecoderFactories().clear();
         client.getProtocolHandlers().clear();
