--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -17,6 +17,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ScopeType;
 
 /** The command line. */
 @Command(name = "notchpick", mixinStandardHelpOptions = true, version = "notchpick 0.1.0",
@@ -27,15 +28,14 @@
     private static final int CONNECTIONS_PER_TARGET = 16;
     private static final int THREADS = 16;
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (JSON)")
+    @Option(names = "--config", required = true, scope = ScopeType.INHERIT, paramLabel = "FILE",
+            description = "the platform's settings (JSON)")
     private Path config;
 
-    @Option(names = "--tuning", paramLabel = "FILE", description = "the operators' own settings (JSON)")
+    @Option(names = "--tuning", scope = ScopeType.INHERIT, paramLabel = "FILE",
+            description = "the operators' own settings (JSON)")
     private Path tuning;
 
-    @Option(names = "--check", description = "check the settings and end")
-    private boolean check;
-
     /** Runs the command and ends the process if it has failed or has nothing more to do. */
     public static void main(String[] args) {
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
@@ -56,7 +56,12 @@
 
     @Override
     public Integer call() {
-        return run(config, tuning, check);
+        return run(config, tuning, false);
+    }
+
+    @Command(description = "Checks both files and ends without starting.", mixinStandardHelpOptions = true)
+    int check() {
+        return run(config, tuning, true);
     }
 
     private static int run(Path config, Path tuning, boolean check) {
--- a/src/test/java/notchpick/app/SettingsTest.java
+++ b/src/test/java/notchpick/app/SettingsTest.java
@@ -73,9 +73,9 @@
     @Test
     void theCommandTellsFailureByItsStatus() throws Exception {
         String good = file("s.json", GOOD).toString();
-        assertEquals(0, new CommandLine(new Main()).execute("--check", "--config", good));
-        assertEquals(2, new CommandLine(new Main()).execute("--check", "--config", good + "x"));
-        assertEquals(2, new CommandLine(new Main()).execute("--check", "--config", good, "--tuning",
+        assertEquals(0, new CommandLine(new Main()).execute("check", "--config", good));
+        assertEquals(2, new CommandLine(new Main()).execute("check", "--config", good + "x"));
+        assertEquals(2, new CommandLine(new Main()).execute("check", "--config", good, "--tuning",
                 file("t.json", "[]").toString()));
     }
 }
