--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -18,6 +18,7 @@
 import notchpick.protocol.Json;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.MachineType;
+import notchpick.standin.CloudStandIn.Listing;
 import notchpick.standin.Network.Cut;
 import notchpick.standin.World;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -115,6 +116,7 @@
             case "lose-commits" -> world.state().loseCommits(Integer.parseInt(first),
                     (long) (Double.parseDouble(words[4]) * 1000));
             case "cloud" -> world.cloud().down(first.equals("down"));
+            case "cloud-lists" -> world.cloud().listing(Listing.valueOf(first));
             case "late-release" -> world.cloud().nextReleaseLate((long) (Double.parseDouble(first) * 1000));
             case "late-rental" -> world.cloud().nextRentalLate((long) (Double.parseDouble(first) * 1000));
             case "never-up" -> world.cloud().neverUp(Integer.parseInt(first));
--- a/src/test/java/notchpick/standin/CloudStandIn.java
+++ b/src/test/java/notchpick/standin/CloudStandIn.java
@@ -50,6 +50,7 @@
     private long releaseLateMs;
     private long rentLateMs;
     private int stuck;
+    private Listing listing = Listing.RIGHT;
 
     /** @param up hears of machines whose worker begins; gone, of names that are gone */
     public CloudStandIn(LongSupplier clock, StateStandIn.Timer timer, Map<String, MachineType> types,
@@ -79,6 +80,13 @@
         rentLateMs = lateMs;
     }
 
+    /** Wrong lists: of nothing at all, or of every machine as failed. */
+    public enum Listing { RIGHT, NOTHING, ALL_FAILED }
+
+    public void listing(Listing how) {
+        listing = how;
+    }
+
     /** So many of the next machines never come up. */
     public void neverUp(int machinesStuck) {
         stuck = machinesStuck;
@@ -161,10 +169,10 @@
     private Answer list() {
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("boxes");
-        for (Rented rented : machines.values()) {
+        for (Rented rented : listing == Listing.NOTHING ? List.<Rented>of() : machines.values()) {
             list.addObject().put("ref", rented.name).put("address", "10.1.0.1:9000").put("boxKind", rented.type.name())
                     .put("site", rented.zone).put("borrowed", rented.spot)
-                    .put("status", rented.up ? "running" : "starting")
+                    .put("status", listing == Listing.ALL_FAILED ? "failed" : rented.up ? "running" : "starting")
                     .put("ageS", (clock.getAsLong() - rented.since) / 1000.0);
         }
         return new Answer(200, Json.bytes(body.put("truncated", false)));
