--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -109,6 +109,8 @@
             }
         } else if (path.equals("/ready")) {
             reply.accept(new Answer(call.method().equals("GET") ? isReady() ? 200 : 503 : 405, new byte[0]));
+        } else if (elector.isForeign()) {
+            reply.accept(new Answer(503, Json.bytes(UserWire.error("records of another version")), 1));
         } else if (!state.reachable() && peers.withState() != null) {
             // Cut off from the state service while a peer is not: let the peer answer.
             peers.relay(peers.withState(), call, RELAY_TIMEOUT_MS, answer -> reply.accept(
@@ -121,7 +123,7 @@
 
     /** In an outage that all share, leaving the balancer's list would help nobody. */
     private boolean isReady() {
-        return frontDoor.ready() && (state.reachable() || peers.withState() == null);
+        return frontDoor.ready() && !elector.isForeign() && (state.reachable() || peers.withState() == null);
     }
 
     private void report(Call call, Consumer<Answer> reply) {
@@ -142,7 +144,7 @@
         Object body = call.path().equals(PeerWire.PATH) ? PeerWire.body(call.body()) : null;
         if (body instanceof Pulse pulse) {
             peers.tell(new Peers.Heard(pulse));
-            reply.accept(new Answer(200, PeerWire.bytes(pulse())));
+            reply.accept(new Answer(200, PeerWire.bytes(pulse(List.of()))));
         } else if (body instanceof Grant grant) {
             reply.accept(new Answer(200, PeerWire.bytes(Placer.place(grant, deployment.node()))));
         } else if (body instanceof Relay relay) {
@@ -157,8 +159,11 @@
     }
 
     private Pulse pulse() {
-        return new Pulse(deployment.node(), elector.term(), elector.leader(), state.reachable(), redirects,
-                leader == null ? List.of() : leader.progress());
+        return pulse(leader == null ? List.of() : leader.progress());
+    }
+
+    private Pulse pulse(List<Progress> progress) {
+        return new Pulse(deployment.node(), elector.term(), elector.leader(), state.reachable(), redirects, progress);
     }
 
     private void heard(Pulse pulse) {
@@ -166,15 +171,7 @@
     }
 
     private Progress progress(String job) {
-        if (leader != null) {
-            for (Progress progress : leader.progress()) {
-                if (progress.getJob().equals(job)) {
-                    return progress;
-                }
-            }
-            return null;
-        }
-        return peers.progress(job);
+        return leader != null ? leader.progress(job) : peers.progress(job);
     }
 
     // ---- machine types: kept in the state service, so that a cloud that is down keeps nobody out ----
--- a/src/main/java/notchpick/app/Settings.java
+++ b/src/main/java/notchpick/app/Settings.java
@@ -82,6 +82,7 @@
                 positive(workers, "deployment.workers.", "cancel_s"),
                 positive(state, "deployment.state.", "rps"),
                 positive(state, "deployment.state.", "write_rps"),
+                (int) (positive(state, "deployment.state.", "value_kb") * 1024),
                 (int) positive(state, "deployment.state.", "txn_ops"),
                 positive(cloud, "deployment.cloud.", "rps"),
                 positive(cloud, "deployment.cloud.", "list_lag_s"),
--- a/src/main/java/notchpick/bookkeeping/Binding.java
+++ b/src/main/java/notchpick/bookkeeping/Binding.java
@@ -8,7 +8,7 @@
     public enum Phase {
         /** A former leader may have sent it there. */
         HINTED,
-        /** Decided here; its order waits for the machine's record to be durable. */
+        /** Decided here; its order waits for the start's record to be durable. */
         PLANNED,
         /** Its order is durable and may be sent. */
         READY,
@@ -24,6 +24,7 @@
     public final JobSpec spec;
     public final int task;
     public final Machine machine;
+    private final String taskName;
     public long attempt;
     public Phase phase;
     public boolean running;
@@ -36,6 +37,7 @@
         this.spec = spec;
         this.task = task;
         this.machine = machine;
+        this.taskName = JobSpec.taskName(spec.id(), task);
         this.attempt = attempt;
         this.phase = phase;
     }
@@ -47,6 +49,6 @@
     }
 
     public String taskName() {
-        return spec.id() + "/" + task;
+        return taskName;
     }
 }
--- a/src/main/java/notchpick/bookkeeping/Job.java
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -8,7 +8,7 @@
 /** An open job. */
 public final class Job {
     public final JobSpec spec;
-    /** Version of its durable record, which changes only when the job ends. */
+    /** Version of its description, which is deleted when the job ends. */
     public final long version;
     public final BitSet done;
     /** Those of the done tasks that the state service knows of. */
@@ -20,6 +20,8 @@
     /** Tasks in leased room. */
     public final BitSet leased = new BitSet();
     public int failures;
+    /** Whether a task of it ever failed, so that some machine may be shunned. */
+    public boolean hasFailed;
     public long notBefore;
     /** Since when its next task has been skipped for want of room; 0: not at all. */
     public long skippedSince;
--- a/src/main/java/notchpick/bookkeeping/Ledger.java
+++ b/src/main/java/notchpick/bookkeeping/Ledger.java
@@ -25,6 +25,8 @@
  */
 public final class Ledger {
     private static final long RETRY_MS = 200;
+    /** A transaction may hold 64 KiB in all; keys and conditions take some of it. */
+    private static final int MAX_BYTES = 58 << 10;
 
     private final StateApi state;
     private final EventLoop loop;
@@ -42,18 +44,34 @@
     /** What a change comes to when its turn has come. */
     public record Prepared(List<Write> writes, Runnable durable, Runnable overtaken) {}
 
-    /** @param value null deletes the key. @param version what the key must have; null: as last known here */
-    public record Write(String key, JsonNode value, Long version, boolean guarded) {
+    /**
+     * A change of one key.
+     *
+     * @param value null deletes the key
+     * @param version what the key must have; null: as last known here
+     * @param bytes as much as the value takes at the most
+     */
+    public record Write(String key, JsonNode value, Long version, boolean guarded, int bytes) {
+        private static final int SMALL_BYTES = 1 << 10;
+
         public static Write put(String key, JsonNode value) {
-            return new Write(key, value, null, true);
+            return new Write(key, value, null, true, SMALL_BYTES);
         }
 
         public static Write delete(String key) {
-            return new Write(key, null, null, false);
+            return new Write(key, null, null, false, 0);
         }
 
         public Write at(long expected) {
-            return new Write(key, value, expected, true);
+            return new Write(key, value, expected, true, bytes);
+        }
+
+        public Write unguarded() {
+            return new Write(key, value, null, false, bytes);
+        }
+
+        public Write bytes(int most) {
+            return new Write(key, value, version, guarded, most);
         }
     }
 
@@ -108,6 +126,7 @@
         Transaction transaction = new Transaction().guard(Records.LEADER, leaderVersion);
         List<Sent> batch = new ArrayList<>();
         int writes = 0;
+        int bytes = 0;
         Iterator<Map.Entry<String, Change>> items = waiting.entrySet().iterator();
         while (items.hasNext()) {
             Map.Entry<String, Change> item = items.next();
@@ -116,11 +135,13 @@
                 items.remove();
                 continue;
             }
-            if (writes > 0 && writes + prepared.writes().size() > maxWrites) {
+            int more = prepared.writes().stream().mapToInt(Write::bytes).sum();
+            if (writes > 0 && (writes + prepared.writes().size() > maxWrites || bytes + more > MAX_BYTES)) {
                 break;
             }
             items.remove();
             writes += prepared.writes().size();
+            bytes += more;
             batch.add(new Sent(item.getKey(), item.getValue(), prepared));
             for (Write write : prepared.writes()) {
                 if (write.guarded()) {
--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -41,11 +41,12 @@
     public long quarantinedUntil;
     /** Jobs whose tasks failed here since one last succeeded, and when. */
     public final Map<String, Long> failedJobs = new HashMap<>();
-    public boolean recorded;
+    /** A former leader may have sent it orders. */
+    public boolean hinted;
     public boolean releaseDurable;
-    public boolean releasing;
-    /** Room that is leased out, by lease. */
-    public Amounts leased = Amounts.NONE;
+    private Amounts leased = Amounts.NONE;
+    private Amounts held = Amounts.NONE;
+    private Amounts room;
 
     public Machine(String name, Pool pool, Amounts size, long now) {
         this.name = name;
@@ -54,6 +55,7 @@
         this.knownSince = now;
         this.idleSince = now;
         this.reportedAt = now;
+        this.room = size;
     }
 
     @Override
@@ -78,14 +80,41 @@
 
     @Override
     public Amounts room() {
-        Amounts room = size.minus(leased);
-        for (Binding binding : bindings.values()) {
-            room = room.minus(binding.spec.demand());
-        }
         return room;
     }
 
+    /** Whether room of it is leased out. */
+    public boolean isLeased() {
+        return leased.cores() > Amounts.SLACK;
+    }
+
+    /** Leases room out. */
+    public void lease(Amounts amounts) {
+        leased = leased.plus(amounts);
+        room = room.minus(amounts);
+    }
+
+    /** Leased room comes back. */
+    public void unlease(Amounts amounts) {
+        leased = leased.minus(amounts);
+        if (leased.cores() < Amounts.SLACK && leased.ram() < Amounts.SLACK) {
+            leased = Amounts.NONE;
+        }
+        room = size.minus(leased).minus(held);
+    }
+
+    void hold(Binding binding) {
+        held = held.plus(binding.spec.demand());
+        room = room.minus(binding.spec.demand());
+    }
+
+    void free(Binding binding) {
+        // Sums of decimals drift; with nothing left they start afresh.
+        held = bindings.isEmpty() ? Amounts.NONE : held.minus(binding.spec.demand());
+        room = size.minus(leased).minus(held);
+    }
+
     public boolean isIdle() {
-        return bindings.isEmpty() && leased.cores() <= Amounts.SLACK;
+        return bindings.isEmpty() && !isLeased();
     }
 }
--- a/src/main/java/notchpick/bookkeeping/Records.java
+++ b/src/main/java/notchpick/bookkeeping/Records.java
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import notchpick.protocol.Json;
@@ -21,19 +21,22 @@
     public static final String TERM = "term";
     public static final String TYPES = "types";
     public static final String COMMITMENTS = "commitments";
-    /** What every job leaves for good: whether it is open, done or cancelled. */
+    /** What every job that is over leaves for good: whether it is done or cancelled. */
     public static final String JOB = "job/";
     /** The full description of every open job, so that a new leader reads open work only. */
     public static final String OPEN = "open/";
-    public static final String DONE_TASKS = "fin/";
-    public static final String MACHINE = "mach/";
-
-    /** So many tasks' done marks share a value, which then takes 5.5 KiB at the most. */
-    public static final int CHUNK = 32_768;
+    /** Done tasks of open jobs; many jobs share a value. */
+    public static final String DONE_TASKS = "done/";
+    /** Tasks that may be on machines; many machines share a value. */
+    public static final String STARTS = "start/";
+    /** Machines whose release may have been asked and has not been confirmed. */
+    public static final String RELEASED = "released";
+    /** The form of all this, kept with the term; the first had none, and a record for each machine. */
+    public static final int FORMAT = 2;
 
     private Records() {}
 
-    /** How a job stands for good. */
+    /** How a job stands; the last two are for good. */
     public enum Fate { OPEN, DONE, CANCELLED }
 
     public record JobRecord(Fate fate, int tasks, int done) {}
@@ -44,11 +47,7 @@
     }
 
     public static JobRecord job(JsonNode value) {
-        Fate fate = switch (value.path("state").asText()) {
-            case "done" -> Fate.DONE;
-            case "cancelled" -> Fate.CANCELLED;
-            default -> Fate.OPEN;
-        };
+        Fate fate = value.path("state").asText().equals("done") ? Fate.DONE : Fate.CANCELLED;
         return new JobRecord(fate, value.path("tasks").asInt(), value.path("done").asInt());
     }
 
@@ -115,63 +114,106 @@
     }
 
     /**
-     * A machine and every task that may be on it. Of each task's job it holds what counts against a
-     * team's limit, since the job may be over, and its description gone, when a new leader reads it.
+     * Tasks that may be on machines. Of each task's job it holds what counts against a team's limit,
+     * since the job may be over, and its description gone, when a new leader reads it.
      */
-    public static ObjectNode machine(Machine machine) {
-        ObjectNode node = Json.object()
-                .put("type", machine.pool.type())
-                .put("zone", machine.pool.zone())
-                .put("spot", machine.pool.spot())
-                .put("released", machine.life == Machine.Life.RELEASED);
-        ArrayNode images = node.putArray("images");
-        machine.images.forEach(images::add);
-        Map<String, ArrayNode> tasksByJob = new LinkedHashMap<>();
+    public static ObjectNode starts(Collection<Binding> bindings) {
+        ObjectNode node = Json.object();
         ObjectNode jobs = node.putObject("jobs");
-        for (Binding binding : machine.bindings.values()) {
-            ArrayNode tasks = tasksByJob.computeIfAbsent(binding.spec.id(), id -> jobs.putObject(id)
-                    .put("team", binding.spec.team())
-                    .put("cores", binding.spec.demand().cores())
-                    .put("gpus", binding.spec.demand().gpus())
-                    .put("ram", binding.spec.demand().ram())
-                    .putArray("tasks"));
-            tasks.addArray().add(binding.task).add(binding.attempt);
+        ObjectNode machines = node.putObject("machines");
+        Map<Machine, ArrayNode> tasks = new HashMap<>();
+        for (Binding binding : bindings) {
+            String job = binding.spec.id();
+            if (!jobs.has(job)) {
+                Amounts demand = binding.spec.demand();
+                jobs.putArray(job).add(binding.spec.team()).add(demand.cores()).add(demand.gpus()).add(demand.ram());
+            }
+            tasks.computeIfAbsent(binding.machine, machine -> machines.putArray(machine.name)
+                    .add(machine.type()).add(machine.zone()).add(machine.spot()).addArray())
+                    .add(job).add(binding.task).add(binding.attempt);
         }
         return node;
     }
 
-    public record Hint(JobSpec job, int task, long attempt) {}
+    /** As many bytes as a task takes among {@link #starts} at the most. */
+    public static int startBytes(Binding binding) {
+        JobSpec spec = binding.spec;
+        Amounts demand = spec.demand();
+        int job = Json.textBytes(spec.id()) * 2 + Json.textBytes(spec.team())
+                + (demand.cores() + "" + demand.gpus() + demand.ram()).length();
+        Machine machine = binding.machine;
+        int place = Json.textBytes(machine.name) + Json.textBytes(machine.type()) + Json.textBytes(machine.zone());
+        int numbers = (Integer.toString(binding.task) + binding.attempt).length();
+        return job + place + numbers + PUNCTUATION_BYTES;
+    }
+
+    /** Commas, brackets and "false" of one entry of any record here. */
+    private static final int PUNCTUATION_BYTES = 32;
 
-    public record MachineRecord(Pool pool, boolean released, List<String> images, List<Hint> hints) {}
+    /** A task that may be on a machine, of which this says where it is and what it takes. */
+    public record Hint(String machine, Pool pool, JobSpec job, int task, long attempt) {}
 
-    public static MachineRecord machine(JsonNode node) {
-        List<String> images = new ArrayList<>();
-        node.path("images").forEach(image -> images.add(image.asText()));
-        List<Hint> hints = new ArrayList<>();
+    public static List<Hint> hints(JsonNode node) {
+        Map<String, JobSpec> jobs = new HashMap<>();
         node.path("jobs").fields().forEachRemaining(field -> {
             JsonNode job = field.getValue();
-            JobSpec stub = new JobSpec(field.getKey(), "", job.path("team").asText(), JobSpec.Form.ARRAY,
-                    JobSpec.Priority.NORMAL, 0, amounts(job), null, null, false, false, true, "", 0, 0, 0, 0, null, 0);
-            for (JsonNode task : job.path("tasks")) {
-                hints.add(new Hint(stub, task.path(0).asInt(), task.path(1).asLong()));
+            Amounts demand = new Amounts(job.path(1).asDouble(), job.path(2).asDouble(), job.path(3).asDouble());
+            jobs.put(field.getKey(), new JobSpec(field.getKey(), "", job.path(0).asText(), JobSpec.Form.ARRAY,
+                    JobSpec.Priority.NORMAL, 0, demand, null, null, false, false, true, "", 0, 0, 0, 0, null, 0));
+        });
+        List<Hint> hints = new ArrayList<>();
+        node.path("machines").fields().forEachRemaining(field -> {
+            JsonNode machine = field.getValue();
+            Pool pool = new Pool(machine.path(0).asText(), machine.path(1).asText(), machine.path(2).asBoolean());
+            JsonNode tasks = machine.path(3);
+            for (int i = 0; i + 2 < tasks.size(); i += 3) {
+                hints.add(new Hint(field.getKey(), pool, jobs.get(tasks.get(i).asText()), tasks.get(i + 1).asInt(),
+                        tasks.get(i + 2).asLong()));
             }
         });
-        Pool pool = new Pool(
-                node.path("type").asText(), node.path("zone").asText(), node.path("spot").asBoolean());
-        return new MachineRecord(pool, node.path("released").asBoolean(), images, hints);
+        return hints;
+    }
+
+    /** Done marks of several jobs, each as a run of bits from some task on. */
+    public static ObjectNode done(Collection<DoneMarks> marks) {
+        ObjectNode node = Json.object();
+        ArrayNode jobs = node.putArray("jobs");
+        for (DoneMarks run : marks) {
+            jobs.addArray().add(run.job.spec.id()).add(run.first)
+                    .add(Base64.getEncoder().encodeToString(run.write().toByteArray()));
+        }
+        return node;
+    }
+
+    /** As many bytes as a run of done marks takes among {@link #done} at the most. */
+    public static int doneBytes(DoneMarks run) {
+        return Json.textBytes(run.job.spec.id()) + Integer.toString(run.first).length() + PUNCTUATION_BYTES
+                + (run.count / 8 + 3) / 3 * 4;
     }
 
-    public static String chunkKey(String job, int chunk) {
-        return DONE_TASKS + job + "/" + chunk;
+    /** The tasks from {@code first} on that are done. */
+    public record DoneRun(String job, int first, BitSet bits) {}
+
+    public static List<DoneRun> done(JsonNode node) {
+        List<DoneRun> runs = new ArrayList<>();
+        for (JsonNode run : node.path("jobs")) {
+            runs.add(new DoneRun(run.path(0).asText(), run.path(1).asInt(),
+                    BitSet.valueOf(Base64.getDecoder().decode(run.path(2).asText()))));
+        }
+        return runs;
     }
 
-    public static ObjectNode chunk(BitSet done, int chunk) {
-        BitSet slice = done.get(chunk * CHUNK, (chunk + 1) * CHUNK);
-        return Json.object().put("bits", Base64.getEncoder().encodeToString(slice.toByteArray()));
+    public static ObjectNode released(Collection<Machine> machines) {
+        ObjectNode node = Json.object();
+        ArrayNode names = node.putArray("machines");
+        machines.forEach(machine -> names.add(machine.name));
+        return node;
     }
 
-    public static BitSet chunk(JsonNode node) {
-        return BitSet.valueOf(Base64.getDecoder().decode(node.path("bits").asText()));
+    public static List<String> released(JsonNode node) {
+        List<String> names = new ArrayList<>();
+        node.path("machines").forEach(name -> names.add(name.asText()));
+        return names;
     }
 
     public static ObjectNode commitments(Map<String, Amounts> commitments) {
--- a/src/main/java/notchpick/bookkeeping/Roster.java
+++ b/src/main/java/notchpick/bookkeeping/Roster.java
@@ -1,8 +1,13 @@
 package notchpick.bookkeeping;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.JobSpec;
 
@@ -11,13 +16,23 @@
     public final Map<String, Job> jobs = new LinkedHashMap<>();
     public final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Amounts> use = new HashMap<>();
+    private final Map<String, Set<Binding>> byJob = new HashMap<>();
+    private final Consumer<Binding> released;
+
+    /** @param released hears of every binding that is over */
+    public Roster(Consumer<Binding> released) {
+        this.released = released;
+    }
 
     public Binding bind(JobSpec spec, int task, Machine machine, long attempt, Binding.Phase phase) {
         Binding binding = new Binding(spec, task, machine, attempt, phase);
-        Binding former = machine.bindings.put(binding.taskName(), binding);
+        Binding former = machine.bindings.get(binding.taskName());
         if (former != null) {
-            release(former);
+            unbind(former);
         }
+        machine.bindings.put(binding.taskName(), binding);
+        machine.hold(binding);
+        byJob.computeIfAbsent(spec.id(), id -> new LinkedHashSet<>()).add(binding);
         use.merge(spec.team(), spec.demand(), Amounts::plus);
         // Its fetch serves all tasks that need the same image.
         machine.images.add(spec.image());
@@ -30,20 +45,34 @@
 
     /** The task surely is not on the machine any more. */
     public void unbind(Binding binding) {
-        if (binding.machine.bindings.remove(binding.taskName(), binding)) {
-            release(binding);
+        if (!binding.machine.bindings.remove(binding.taskName(), binding)) {
+            return;
         }
-    }
-
-    private void release(Binding binding) {
-        use.computeIfPresent(binding.spec.team(), (team, amounts) -> amounts.minus(binding.spec.demand()));
-        Job job = jobs.get(binding.spec.id());
+        JobSpec spec = binding.spec;
+        binding.machine.free(binding);
+        byJob.computeIfPresent(spec.id(), (id, bindings) -> {
+            bindings.remove(binding);
+            return bindings.isEmpty() ? null : bindings;
+        });
+        use.computeIfPresent(spec.team(), (team, amounts) -> amounts.minus(spec.demand()));
+        Job job = jobs.get(spec.id());
         if (job != null) {
             if (binding.running) {
                 job.running--;
             }
             job.unbind(binding.task);
         }
+        released.accept(binding);
+    }
+
+    /** Nothing is on the machine any more. */
+    public void unbindAll(Machine machine) {
+        List.copyOf(machine.bindings.values()).forEach(this::unbind);
+    }
+
+    /** A job's tasks that are, or may be, on machines; its own copy. */
+    public Collection<Binding> bindingsOf(String job) {
+        return List.copyOf(byJob.getOrDefault(job, Set.of()));
     }
 
     /** What the tasks of a team hold, those included of which it is not sure that they are gone. */
@@ -65,12 +94,8 @@
     /** How many of a job's tasks are, or may be, in each zone. */
     public Map<String, Integer> zonesOf(String job) {
         Map<String, Integer> zones = new HashMap<>();
-        for (Machine machine : machines.values()) {
-            for (Binding binding : machine.bindings.values()) {
-                if (binding.spec.id().equals(job)) {
-                    zones.merge(machine.zone(), 1, Integer::sum);
-                }
-            }
+        for (Binding binding : byJob.getOrDefault(job, Set.of())) {
+            zones.merge(binding.machine.zone(), 1, Integer::sum);
         }
         return zones;
     }
--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -20,6 +20,7 @@
         double cancelS,
         double stateRps,
         double stateWriteRps,
+        int valueBytes,
         int txnOps,
         double cloudRps,
         double listLagS,
--- a/src/main/java/notchpick/coordination/Elector.java
+++ b/src/main/java/notchpick/coordination/Elector.java
@@ -50,6 +50,7 @@
     private String leader;
     private long standAsideUntil;
     private long tenure;
+    private boolean foreign;
 
     public Elector(EventLoop loop, String node, StateApi state, Random random, long leaseMs, Listener listener) {
         super(loop);
@@ -70,6 +71,11 @@
         return term;
     }
 
+    /** Whether the state service holds what another version left, which must not be touched. */
+    public boolean isForeign() {
+        return foreign;
+    }
+
     @Override
     protected void receive(Message message) {
         if (message instanceof Begin) {
@@ -140,6 +146,14 @@
     private void stand() {
         state.get(Records.TERM, here(result -> {
             if (result instanceof Ok<Entry> ok) {
+                int format = ok.value().value().path("format").asInt(1);
+                foreign = format != Records.FORMAT;
+                if (foreign) {
+                    log.error("the state service holds records of form {}, this version reads form {}: not serving",
+                            format, Records.FORMAT);
+                    lookLater();
+                    return;
+                }
                 stand(ok.value().value().path("term").asLong(), ok.value().version());
             } else if (result instanceof Missing<Entry>) {
                 stand(0, 0);
@@ -162,7 +176,7 @@
                     .guard(Records.LEADER, 0)
                     .guard(Records.TERM, termVersion)
                     .put(Records.LEADER, Json.object().put("node", node).put("term", newTerm), newLease)
-                    .put(Records.TERM, Json.object().put("term", newTerm));
+                    .put(Records.TERM, Json.object().put("term", newTerm).put("format", Records.FORMAT));
             state.commit(transaction, here(result -> {
                 if (result instanceof Ok<Long> version) {
                     leading = true;
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -37,6 +37,10 @@
 final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
+    private static final int TRIES = 3;
+    /** No machine's name takes more than this, quotes and comma included. */
+    private static final int MOST_NAME_BYTES = 64;
+
     private final EventLoop loop;
     private final Deployment deployment;
     private final Roster roster;
@@ -49,11 +53,12 @@
 
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<Pool, Long> refusedUntil = new HashMap<>();
-    private final Map<Pool, Integer> asked = new HashMap<>();
+    private final Set<Pool> asked = new HashSet<>();
     /** Released for good; a late report must not bring one back. */
     private final Set<String> released = new HashSet<>();
     private long lastRequest;
     private boolean releasing;
+    private boolean listed;
 
     /** @param gone hears of machines of which it is sure that nothing is on them any more */
     Fleet(EventLoop loop, Deployment deployment, Roster roster, Estimates estimates, CloudApi cloud, Ledger ledger,
@@ -93,9 +98,23 @@
         return released.contains(machine);
     }
 
+    /** What a former leader may have asked the cloud to take back: not to be used again. */
+    void load(List<String> names) {
+        for (String name : names) {
+            Machine machine = roster.machines.computeIfAbsent(name,
+                    n -> new Machine(n, new Pool("", "", false), Amounts.NONE, loop.now()));
+            machine.life = Life.RELEASED;
+            machine.releaseDurable = true;
+        }
+    }
+
     /** One look at what is needed and what there is. */
     void review() {
         long now = loop.now();
+        if (!listed) {
+            // What a former leader rented is not known yet; it must not be rented once more.
+            return;
+        }
         List<Need> needs = needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
@@ -107,12 +126,18 @@
         FleetPlan.Plan plan = FleetPlan.plan(needs, owned, types, 2 * bootS,
                 pool -> refusedUntil.getOrDefault(pool, 0L) > now);
         plan.rent().forEach((pool, count) -> {
-            if (!asked.containsKey(pool)) {
-                rent(pool, Math.min(count, CloudApi.MAX_RENT));
+            if (asked.add(pool)) {
+                rent(pool, count);
             }
         });
+        boolean mostAreSilent = mostAreSilent(now);
+        boolean leaving = false;
         for (Machine machine : roster.machines.values()) {
-            retire(machine, plan.unneeded().contains(machine.name), now);
+            retire(machine, plan.unneeded().contains(machine.name), mostAreSilent, now);
+            leaving |= machine.life == Life.RELEASED && !machine.releaseDurable;
+        }
+        if (leaving) {
+            ledger.write(Records.RELEASED, this::saveReleased);
         }
         release();
     }
@@ -186,37 +211,43 @@
         return true;
     }
 
+    /** Rents as many, one request after the other, each of as many as the cloud gives at once. */
     private void rent(Pool pool, int count) {
-        String request = requestPrefix + ++lastRequest;
-        asked.put(pool, count);
-        rent(request, pool, count, 3);
+        rent(requestPrefix + ++lastRequest, pool, count, TRIES);
     }
 
     private void rent(String request, Pool pool, int count, int tries) {
-        cloud.rent(request, pool.type(), pool.zone(), pool.spot(), count, result -> timer.accept(0L, () -> {
+        int number = Math.min(count, CloudApi.MAX_RENT);
+        cloud.rent(request, pool.type(), pool.zone(), pool.spot(), number, result -> timer.accept(0L, () -> {
             long now = loop.now();
             if (result == null && tries > 1) {
                 // The same name again: if the first did rent, this tells what.
                 timer.accept(1000L, () -> rent(request, pool, count, tries - 1));
                 return;
             }
-            asked.remove(pool);
             if (result == null) {
+                asked.remove(pool);
                 return;
             }
-            if (result.refused() || result.machines().size() < count) {
-                refusedUntil.put(pool, now + (long) (bootMs(pool.type()) * 0.7));
-            }
-            LOG.info("rented {} of {} {} in {}{}", result.machines().size(), count, pool.type(), pool.zone(),
+            LOG.info("rented {} of {} {} in {}{}", result.machines().size(), number, pool.type(), pool.zone(),
                     pool.spot() ? " (spot)" : "");
             for (String name : result.machines()) {
                 roster.machines.computeIfAbsent(name, n -> new Machine(n, pool, size(pool.type()), now));
             }
+            if (result.refused() || result.machines().size() < number) {
+                refusedUntil.put(pool, now + (long) (bootMs(pool.type()) * 0.7));
+                asked.remove(pool);
+            } else if (count > number) {
+                // All pools together stay within what the cloud takes.
+                timer.accept((long) (1000 * asked.size() / deployment.cloudRps()), () -> rent(pool, count - number));
+            } else {
+                asked.remove(pool);
+            }
         }));
     }
 
     /** Moves a machine on towards its release where there is a reason to. */
-    private void retire(Machine machine, boolean unneeded, long now) {
+    private void retire(Machine machine, boolean unneeded, boolean mostAreSilent, long now) {
         double reportMs = deployment.reportS() * 1000;
         switch (machine.life) {
             case BOOTING -> {
@@ -228,7 +259,7 @@
             case UP -> {
                 if (machine.isIdle() && unneeded && now - machine.idleSince > keepIdleMs(machine)) {
                     machine.life = Life.RELEASED;
-                } else if (now - machine.reportedAt > deployment.workerLeaseS() * 500 && !mostAreSilent(now)) {
+                } else if (now - machine.reportedAt > deployment.workerLeaseS() * 500 && !mostAreSilent) {
                     LOG.info("machine {} is silent", machine.name);
                     machine.life = Life.RELEASED;
                 }
@@ -240,9 +271,6 @@
             }
             case RELEASED -> { }
         }
-        if (machine.life == Life.RELEASED && !machine.releaseDurable) {
-            saveReleased(machine);
-        }
     }
 
     /** A cheap machine is kept for as long as another would take to boot; an ordinary one hardly at all. */
@@ -263,15 +291,22 @@
         return silent > 3 && silent * 2 > up;
     }
 
-    private void saveReleased(Machine machine) {
-        ledger.write(Records.MACHINE + machine.name, () -> new Prepared(
-                List.of(Write.put(Records.MACHINE + machine.name, Records.machine(machine))),
-                () -> {
-                    machine.recorded = true;
-                    machine.releaseDurable = true;
-                    release();
-                },
-                () -> { }));
+    /** Names all whose release may have been asked, and of the others that shall go as many as one value takes. */
+    private Prepared saveReleased() {
+        List<Machine> names = new ArrayList<>();
+        int most = deployment.valueBytes() / MOST_NAME_BYTES;
+        for (boolean durable : new boolean[] {true, false}) {
+            for (Machine machine : roster.machines.values()) {
+                if (machine.life == Life.RELEASED && machine.releaseDurable == durable && names.size() < most) {
+                    names.add(machine);
+                }
+            }
+        }
+        Write write = Write.put(Records.RELEASED, Records.released(names)).bytes(names.size() * MOST_NAME_BYTES);
+        return new Prepared(List.of(write), () -> {
+            names.forEach(machine -> machine.releaseDurable = true);
+            release();
+        }, () -> { });
     }
 
     /** Asks for the release of what is marked as released durably; again until it is confirmed. */
@@ -300,9 +335,8 @@
                 released.add(name);
                 gone.accept(machine);
                 roster.machines.remove(name);
-                ledger.write(Records.MACHINE + name, () -> new Prepared(
-                        List.of(Write.delete(Records.MACHINE + name)), () -> { }, () -> { }));
             }
+            release();
         }));
     }
 
@@ -319,6 +353,8 @@
             page.machines().forEach(this::listed);
             if (page.more() && !page.machines().isEmpty()) {
                 list(page.machines().get(page.machines().size() - 1).machine());
+            } else {
+                listed = true;
             }
         }));
     }
--- a/src/main/java/notchpick/coordination/FrontDoor.java
+++ b/src/main/java/notchpick/coordination/FrontDoor.java
@@ -136,9 +136,10 @@
             unlessKnown(id, error(422, obstacle), reply);
             return;
         }
+        // One change only: what users may write is little, and conditions are free.
         Transaction transaction = new Transaction()
                 .guard(Records.JOB + id, 0)
-                .put(Records.JOB + id, Records.job(new JobRecord(Fate.OPEN, spec.tasks(), 0)))
+                .guard(Records.OPEN + id, 0)
                 .put(Records.OPEN + id, Records.spec(spec));
         state.commit(transaction, here(result -> {
             if (result instanceof Ok<Long>) {
@@ -171,7 +172,7 @@
     }
 
     private void unlessKnown(String id, Answer otherwise, Consumer<Answer> reply) {
-        read(id, reply, entry -> reply.accept(entry == null ? otherwise : status(id, Records.job(entry.value()))));
+        read(id, reply, job -> reply.accept(job == null ? otherwise : status(id, job.record())));
     }
 
     private void poll(String id, Consumer<Answer> reply) {
@@ -192,19 +193,18 @@
             reply.accept(error(404, "no such job"));
             return;
         }
-        read(id, reply, entry -> {
-            if (entry == null) {
+        read(id, reply, job -> {
+            if (job == null) {
                 reply.accept(error(404, "no such job"));
                 return;
             }
-            JobRecord job = Records.job(entry.value());
-            if (job.fate() != Fate.OPEN) {
-                reply.accept(new Answer(200, Json.bytes(UserWire.status(id, word(job.fate())))));
+            if (job.record().fate() != Fate.OPEN) {
+                reply.accept(new Answer(200, Json.bytes(UserWire.status(id, word(job.record().fate())))));
                 return;
             }
-            JobRecord cancelled = new JobRecord(Fate.CANCELLED, job.tasks(), job.done());
+            JobRecord cancelled = new JobRecord(Fate.CANCELLED, job.record().tasks(), 0);
             Transaction transaction = new Transaction()
-                    .guard(Records.JOB + id, entry.version())
+                    .guard(Records.OPEN + id, job.version())
                     .put(Records.JOB + id, Records.job(cancelled))
                     .delete(Records.OPEN + id);
             state.commit(transaction, here(result -> {
@@ -221,17 +221,30 @@
         });
     }
 
-    /** Reads a job's record; gives null if there surely is none, answers 503 if it can't be told. */
-    private void read(String id, Consumer<Answer> reply, Consumer<Entry> then) {
-        state.get(Records.JOB + id, here(result -> {
-            if (result instanceof Ok<Entry> ok) {
-                JobRecord job = Records.job(ok.value().value());
-                if (job.fate() != Fate.OPEN) {
-                    over.put(id, job);
-                }
-                then.accept(ok.value());
-            } else if (result instanceof Missing<Entry>) {
-                then.accept(null);
+    /** @param version of the job's description, while it is open */
+    private record Known(JobRecord record, long version) {}
+
+    /**
+     * Reads how a job stands; gives null if there surely is none, answers 503 if it can't be told. Its
+     * description is read first: where that is missing, the job is over, and says so, or there is none.
+     */
+    private void read(String id, Consumer<Answer> reply, Consumer<Known> then) {
+        state.get(Records.OPEN + id, here(open -> {
+            if (open instanceof Ok<Entry> ok) {
+                int tasks = Records.spec(id, ok.value().value()).tasks();
+                then.accept(new Known(new JobRecord(Fate.OPEN, tasks, 0), ok.value().version()));
+            } else if (open instanceof Missing<Entry>) {
+                state.get(Records.JOB + id, here(ended -> {
+                    if (ended instanceof Ok<Entry> ok) {
+                        JobRecord record = Records.job(ok.value().value());
+                        over.put(id, record);
+                        then.accept(new Known(record, 0));
+                    } else if (ended instanceof Missing<Entry>) {
+                        then.accept(null);
+                    } else {
+                        reply.accept(later("the state service does not answer"));
+                    }
+                }));
             } else {
                 reply.accept(later("the state service does not answer"));
             }
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -1,9 +1,11 @@
 package notchpick.coordination;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,11 +27,11 @@
 import notchpick.scheduling.JobOrder;
 import notchpick.scheduling.JobOrder.Waiting;
 import notchpick.scheduling.JobSpec;
-import notchpick.scheduling.Packing;
 import notchpick.scheduling.Preemption;
 import notchpick.scheduling.Preemption.Starved;
 import notchpick.scheduling.Preemption.Victim;
 import notchpick.scheduling.Sdrf;
+import notchpick.scheduling.SiteIndex;
 import notchpick.transport.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,6 +47,7 @@
 
     /** So many report periods a job stays away from a machine on which a task of it failed. */
     private static final int SHUN_REPORTS = 20;
+    private static final BitSet NO_TASKS = new BitSet();
 
     private final EventLoop loop;
     private final Deployment deployment;
@@ -71,7 +74,7 @@
         private final String team;
         private final String holder;
         private final Map<Machine, Amounts> room = new LinkedHashMap<>();
-        private final Map<Job, List<Integer>> tasks = new LinkedHashMap<>();
+        private final Map<Job, BitSet> tasks = new LinkedHashMap<>();
 
         Leased(long number, String team, String holder) {
             this.number = number;
@@ -118,11 +121,24 @@
         }
     }
 
+    /** Jobs of the same shape find the same machine, unless their tasks have failed on some. */
+    private record Shape(Amounts demand, List<String> types, String zone, boolean spot, boolean ordinary,
+            String image) {
+        static Shape of(Job job) {
+            JobSpec spec = job.spec;
+            return constrained(spec) || job.hasFailed ? null : new Shape(spec.demand(), spec.types(), spec.zone(),
+                    spec.spot(), job.mayUseOrdinary(), spec.image());
+        }
+    }
+
     /** One team's part in a round. */
     private final class Turn {
         private final String team;
         private final List<Job> jobs;
         private final Leased leased;
+        private final Map<Job, Shape> shapes = new HashMap<>();
+        /** Shapes that found no room; there won't be more of it during this round. */
+        private final Set<Shape> missed = new HashSet<>();
         /** Jobs that found no room. */
         private final List<Job> skipped = new ArrayList<>();
         private Amounts held;
@@ -132,6 +148,13 @@
             this.jobs = jobs;
             this.leased = leased;
             this.held = roster.use(team);
+            Map<Shape, Shape> known = new HashMap<>();
+            for (Job job : jobs) {
+                Shape shape = Shape.of(job);
+                if (shape != null) {
+                    shapes.put(job, known.computeIfAbsent(shape, same -> same));
+                }
+            }
         }
 
         private double rank(Amounts total) {
@@ -159,15 +182,16 @@
         }
         updateCommitments(present, total);
         leases.values().forEach(leased -> waiting.remove(leased.team));
-        List<Machine> open = new ArrayList<>();
-        for (Machine machine : roster.machines.values()) {
-            if (usable(machine, now) && machine.room().cores() > Amounts.SLACK) {
-                open.add(machine);
-            }
-        }
         if (waiting.isEmpty()) {
             return;
         }
+        List<Machine> usable = new ArrayList<>();
+        for (Machine machine : roster.machines.values()) {
+            if (machine.room().cores() > Amounts.SLACK && usable(machine, now)) {
+                usable.add(machine);
+            }
+        }
+        SiteIndex<Machine> open = new SiteIndex<>(usable);
         List<Turn> active = new ArrayList<>();
         waiting.forEach((team, jobs) -> {
             List<Waiting> order = new ArrayList<>();
@@ -251,10 +275,11 @@
     }
 
     /** Grants room to the team's next task that fits; false if none does. */
-    private boolean grantOne(Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
+    private boolean grantOne(Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         Deployment.Limit limit = deployment.limit(turn.team);
         Job head = null;
         Machine headMachine = null;
+        Map<Shape, Machine> chosen = new IdentityHashMap<>();
         for (int i = 0; i < turn.jobs.size();) {
             Job job = turn.jobs.get(i);
             if (job.pending.isEmpty() || limit != null && !limit.allows(turn.held.plus(job.spec.demand()))) {
@@ -264,10 +289,22 @@
             if (head != null && job.spec.priority() != head.spec.priority()) {
                 break;
             }
-            Machine machine = choose(job, turn, open, barred, now);
+            Shape shape = turn.shapes.get(job);
+            Machine machine = shape == null ? null : chosen.get(shape);
+            if (machine == null && !turn.missed.contains(shape)) {
+                machine = choose(job, turn, open, barred, now);
+                if (machine != null && shape != null) {
+                    chosen.put(shape, machine);
+                }
+            }
             if (machine == null) {
+                if (shape != null) {
+                    turn.missed.add(shape);
+                }
                 turn.skipped.add(job);
-                skip(job, turn, open, barred, now);
+                if (skip(job, turn, open, barred, now)) {
+                    chosen.clear();
+                }
                 turn.jobs.remove(i);
                 continue;
             }
@@ -275,7 +312,7 @@
                 if (head != null && head.deferredSince == 0) {
                     head.deferredSince = now;
                 }
-                grant(turn, job, machine);
+                grant(turn, job, machine, open);
                 return true;
             }
             if (head == null) {
@@ -290,7 +327,7 @@
         if (head == null) {
             return false;
         }
-        grant(turn, head, headMachine);
+        grant(turn, head, headMachine, open);
         return true;
     }
 
@@ -304,51 +341,59 @@
         return !urgent && (job.deferredSince == 0 || now - job.deferredSince < 2 * fetchMs);
     }
 
-    private Machine choose(Job job, Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
+    private Machine choose(Job job, Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         // Not for ever: where machines are few, the only one that fits may have failed it once.
         long shunMs = (long) (deployment.reportS() * 1000 * SHUN_REPORTS);
         Map<String, Integer> zones = constrained(job.spec) ? zonesOf(job, turn.leased) : Map.of();
-        return Packing.choose(open, job.spec, m -> zoneAllows(job.spec, zones, m.zone())
+        return open.choose(job.spec, m -> zoneAllows(job.spec, zones, m.zone())
                 && (m.spot() || job.mayUseOrdinary())
                 && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
                 && (barred.get(m) == null || barred.get(m) == turn));
     }
 
-    private void grant(Turn turn, Job job, Machine machine) {
+    private void grant(Turn turn, Job job, Machine machine, SiteIndex<Machine> open) {
         Amounts demand = job.spec.demand();
         job.skippedSince = 0;
         if (!machine.images.contains(job.spec.image())) {
             job.deferredSince = 0;
+        }
+        open.change(machine, () -> {
             // It will be fetched for this task, and serves those that follow.
             machine.images.add(job.spec.image());
-        }
+            machine.lease(demand);
+        });
         int task = job.pending.nextSetBit(0);
         job.pending.clear(task);
         job.leased.set(task);
-        machine.leased = machine.leased.plus(demand);
         turn.leased.room.merge(machine, demand, Amounts::plus);
-        turn.leased.tasks.computeIfAbsent(job, j -> new ArrayList<>()).add(task);
+        turn.leased.tasks.computeIfAbsent(job, j -> new BitSet()).set(task);
         turn.held = turn.held.plus(demand);
     }
 
-    /** The barring wait: who has been skipped for long keeps others from the room nearest to enough. */
-    private void skip(Job job, Turn turn, List<Machine> open, Map<Machine, Turn> barred, long now) {
+    /**
+     * The barring wait: who has been skipped for long keeps others from the room nearest to enough.
+     * True if that took room away from others.
+     */
+    private boolean skip(Job job, Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         if (job.skippedSince == 0) {
             job.skippedSince = now;
-            return;
+            return false;
         }
         if (now - job.skippedSince < tuning.barringS() * 1000 || barred.containsValue(turn)) {
-            return;
+            return false;
         }
-        open.stream()
+        Machine nearest = open.sites().stream()
                 .filter(m -> barred.get(m) == null && job.spec.demand().fitsIn(m.size)
                         && job.spec.allows(m.type(), m.zone(), m.spot()))
                 .max(Comparator.comparingDouble(m -> m.room().cores()))
-                .ifPresent(m -> {
-                    barred.put(m, turn);
-                    // Within the team too: what comes after this job must leave that room alone.
-                    open.remove(m);
-                });
+                .orElse(null);
+        if (nearest == null) {
+            return false;
+        }
+        barred.put(nearest, turn);
+        // Within the team too: what comes after this job must leave that room alone.
+        open.remove(nearest);
+        return true;
     }
 
     private static boolean constrained(JobSpec spec) {
@@ -403,9 +448,12 @@
     }
 
     private Grant grant(Leased leased) {
+        Set<String> images = new HashSet<>();
+        leased.tasks.keySet().forEach(job -> images.add(job.spec.image()));
         List<Room> rooms = new ArrayList<>();
         leased.room.forEach((machine, room) -> rooms.add(new Room(machine.name, machine.type(), machine.zone(),
-                machine.spot(), room.cores(), room.gpus(), room.ram(), List.copyOf(machine.images))));
+                machine.spot(), room.cores(), room.gpus(), room.ram(),
+                images.stream().filter(machine.images::contains).toList())));
         List<Want> wants = new ArrayList<>();
         leased.tasks.forEach((job, tasks) -> {
             JobSpec spec = job.spec;
@@ -417,7 +465,8 @@
             }
             String zone = spec.oneZone() ? leased.room.keySet().iterator().next().zone() : spec.zone();
             wants.add(new Want(spec.id(), spec.demand().cores(), spec.demand().gpus(), spec.demand().ram(),
-                    spec.image(), spec.types(), zone, spec.spot(), zoneRoom, tasks));
+                    spec.image(), spec.types(), zone, spec.spot(), zoneRoom,
+                    tasks.stream().boxed().toList()));
         });
         return new Grant(term, leased.number, leased.team, tuning.roomLeaseMs(), rooms, wants);
     }
@@ -434,13 +483,8 @@
 
     private void giveBack(Leased leased) {
         leases.remove(leased.number);
-        leased.room.forEach((machine, room) -> {
-            machine.leased = machine.leased.minus(room);
-            if (machine.leased.cores() < Amounts.SLACK && machine.leased.ram() < Amounts.SLACK) {
-                machine.leased = Amounts.NONE;
-            }
-        });
-        leased.tasks.forEach((job, tasks) -> tasks.forEach(task -> {
+        leased.room.forEach(Machine::unlease);
+        leased.tasks.forEach((job, tasks) -> tasks.stream().forEach(task -> {
             job.leased.clear(task);
             if (!job.done.get(task) && !job.bound.containsKey(task)) {
                 job.pending.set(task);
@@ -464,7 +508,7 @@
             Machine machine = roster.machines.get(placed.getMachine());
             int task = placed.getTask();
             if (job == null || machine == null || !left.containsKey(machine)
-                    || !leased.tasks.getOrDefault(job, List.of()).contains(task)
+                    || !leased.tasks.getOrDefault(job, NO_TASKS).get(task)
                     || !job.pending.get(task)
                     || !job.spec.demand().fitsIn(left.get(machine))
                     || !admissible(job, machine, now)) {
--- /dev/null
+++ b/src/main/java/notchpick/coordination/OpenJobs.java
@@ -0,0 +1,232 @@
+package notchpick.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Binding;
+import notchpick.bookkeeping.Binding.Phase;
+import notchpick.bookkeeping.DoneMarks;
+import notchpick.bookkeeping.Job;
+import notchpick.bookkeeping.Ledger;
+import notchpick.bookkeeping.Ledger.Prepared;
+import notchpick.bookkeeping.Ledger.Write;
+import notchpick.bookkeeping.Records;
+import notchpick.bookkeeping.Records.DoneRun;
+import notchpick.bookkeeping.Records.Fate;
+import notchpick.bookkeeping.Records.JobRecord;
+import notchpick.bookkeeping.Roster;
+import notchpick.bookkeeping.SharedValues;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Change;
+import notchpick.protocol.StateApi.Changes;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Listing;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's view of jobs as they come, progress and end; users' changes are watched in the state service. */
+final class OpenJobs {
+    private static final Logger LOG = LoggerFactory.getLogger(OpenJobs.class);
+    private static final long RETRY_MS = 200;
+
+    private final EventLoop loop;
+    private final Deployment deployment;
+    private final StateApi state;
+    private final Roster roster;
+    private final Ledger ledger;
+    private final BiConsumer<Long, Runnable> timer;
+    private final Runnable changed;
+    private final Runnable saved;
+    private final SharedValues<DoneMarks> marks;
+    /** A job's runs of done marks, by the first task of each. */
+    private final Map<Job, Map<Integer, DoneMarks>> runs = new HashMap<>();
+    private long watchedAt;
+
+    /** @param changed hears when jobs have come or gone; saved, when tasks' ends have become durable */
+    OpenJobs(EventLoop loop, Deployment deployment, StateApi state, Roster roster, Ledger ledger,
+            BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
+        this.loop = loop;
+        this.deployment = deployment;
+        this.state = state;
+        this.roster = roster;
+        this.ledger = ledger;
+        this.timer = timer;
+        this.changed = changed;
+        this.saved = saved;
+        this.watchedAt = loop.now();
+        this.marks = new SharedValues<>(ledger, Records.DONE_TASKS, new SharedValues.Form<>() {
+            @Override
+            public int bytes(DoneMarks run) {
+                return Records.doneBytes(run);
+            }
+
+            @Override
+            public JsonNode value(Collection<DoneMarks> all) {
+                return Records.done(all);
+            }
+        }, SharedValues.Fill.FULLEST, deployment.valueBytes(), deployment.txnOps(), this::durable);
+    }
+
+    private <T> Consumer<T> inTurn(Consumer<T> then) {
+        return value -> timer.accept(0L, () -> then.accept(value));
+    }
+
+    /** When users' changes were last known to be complete. */
+    long watchedAt() {
+        return watchedAt;
+    }
+
+    // ---- as read at the start of a term --------------------------------------------------------
+
+    void load(Listing open) {
+        roster.jobs.clear();
+        open.entries().forEach(entry -> opened(entry.key(), entry.value(), entry.version()));
+    }
+
+    void loadDone(Listing listing) {
+        for (Entry entry : listing.entries()) {
+            ledger.known(entry.key(), entry.version());
+            Set<DoneMarks> loaded = new HashSet<>();
+            for (DoneRun run : Records.done(entry.value())) {
+                Job job = roster.jobs.get(run.job());
+                if (job != null) {
+                    run.bits().stream().forEach(bit -> {
+                        job.finish(run.first() + bit);
+                        job.durable.set(run.first() + bit);
+                    });
+                    loaded.add(run(job, run.first()));
+                }
+            }
+            marks.loaded(entry.key(), loaded);
+        }
+    }
+
+    // ---- users' changes ------------------------------------------------------------------------
+
+    void watch(long since) {
+        long waitMs = (long) (deployment.reportS() * 1000);
+        state.changes(Records.OPEN, since, waitMs, inTurn(result -> {
+            if (result instanceof Ok<Changes> ok) {
+                watchedAt = loop.now();
+                for (Change change : ok.value().log()) {
+                    if (change.value() != null) {
+                        opened(change.key(), change.value(), change.version());
+                    } else {
+                        closed(change.key().substring(Records.OPEN.length()));
+                    }
+                }
+                if (!ok.value().log().isEmpty()) {
+                    changed.run();
+                }
+                watch(Math.max(since, ok.value().revision()));
+            } else if (result instanceof Missing<Changes>) {
+                relist();
+            } else {
+                timer.accept(RETRY_MS, () -> watch(since));
+            }
+        }));
+    }
+
+    /** The watch is too far behind: read all open jobs again. */
+    private void relist() {
+        state.listAll(Records.OPEN, inTurn(result -> {
+            if (!(result instanceof Ok<Listing> ok)) {
+                timer.accept(RETRY_MS, this::relist);
+                return;
+            }
+            Set<String> open = new HashSet<>();
+            for (Entry entry : ok.value().entries()) {
+                open.add(entry.key().substring(Records.OPEN.length()));
+                opened(entry.key(), entry.value(), entry.version());
+            }
+            List.copyOf(roster.jobs.keySet()).stream().filter(id -> !open.contains(id)).forEach(this::closed);
+            watch(ok.value().revision());
+        }));
+    }
+
+    private void opened(String key, JsonNode value, long version) {
+        String id = key.substring(Records.OPEN.length());
+        roster.jobs.computeIfAbsent(id, i -> new Job(Records.spec(i, value), version));
+    }
+
+    /** The job is over, by its last task or by its user. */
+    private void closed(String id) {
+        Job job = roster.jobs.remove(id);
+        if (job == null) {
+            return;
+        }
+        if (!job.isDone()) {
+            LOG.info("job {} was cancelled", id);
+        }
+        for (Binding binding : roster.bindingsOf(id)) {
+            if (binding.phase == Phase.PLANNED || binding.phase == Phase.READY) {
+                roster.unbind(binding);
+            } else {
+                binding.stopGraceS = 0.0;
+            }
+        }
+        Map<Integer, DoneMarks> over = runs.remove(job);
+        if (over != null) {
+            over.values().forEach(marks::drop);
+        }
+    }
+
+    // ---- tasks end -----------------------------------------------------------------------------
+
+    /** A worker says that the task is done; it is written down before the worker may forget it. */
+    void finished(Job job, int task) {
+        if (job.isDone()) {
+            String id = job.spec.id();
+            ledger.write("end " + id, () -> roster.jobs.get(id) == job ? end(job) : null);
+        } else {
+            marks.save(run(job, task - task % runLength()));
+        }
+    }
+
+    private DoneMarks run(Job job, int first) {
+        return runs.computeIfAbsent(job, j -> new HashMap<>())
+                .computeIfAbsent(first, f -> new DoneMarks(job, f, Math.min(runLength(), job.spec.tasks() - f)));
+    }
+
+    /** So many marks, six to a character, take half of a value. */
+    private int runLength() {
+        return deployment.valueBytes() * 3;
+    }
+
+    private void durable(List<DoneMarks> written) {
+        written.forEach(DoneMarks::durable);
+        saved.run();
+    }
+
+    /** The last transition of a job; guarded on its description, so that it can't cross a cancellation. */
+    private Prepared end(Job job) {
+        String id = job.spec.id();
+        JobRecord record = new JobRecord(Fate.DONE, job.spec.tasks(), job.spec.tasks());
+        List<Write> writes = List.of(
+                Write.put(Records.JOB + id, Records.job(record)).unguarded(),
+                Write.delete(Records.OPEN + id).at(job.version));
+        return new Prepared(writes, () -> {
+            LOG.info("job {} is done", id);
+            closed(id);
+            saved.run();
+        }, () -> {
+            // Cancelled meanwhile, or ended by a transaction whose answer was lost; the watch tells it too.
+            closed(id);
+            saved.run();
+        });
+    }
+
+    /** Writes away what is left of jobs that are over. */
+    void tidy() {
+        marks.tidy();
+    }
+}
--- a/src/main/java/notchpick/coordination/Peers.java
+++ b/src/main/java/notchpick/coordination/Peers.java
@@ -34,6 +34,9 @@
     private final Consumer<Pulse> heard;
     private final long periodMs;
     private final Map<String, Last> last = new HashMap<>();
+    /** Counts of open jobs as a leader last told them. */
+    private final Map<String, Progress> progress = new HashMap<>();
+    private Last shown;
 
     public Peers(EventLoop loop, Deployment deployment, Caller caller, Supplier<Pulse> own, Consumer<Pulse> heard) {
         super(loop);
@@ -65,7 +68,13 @@
     }
 
     private void hear(Pulse pulse) {
-        last.put(pulse.getNode(), new Last(pulse, loop.now()));
+        Last heardNow = new Last(pulse, loop.now());
+        last.put(pulse.getNode(), heardNow);
+        if (!pulse.getProgress().isEmpty()) {
+            shown = heardNow;
+            progress.clear();
+            pulse.getProgress().forEach(one -> progress.put(one.getJob(), one));
+        }
         heard.accept(pulse);
     }
 
@@ -101,16 +110,7 @@
 
     /** A job's counts as its leader last told them, or null. */
     public Progress progress(String job) {
-        for (Last entry : last.values()) {
-            if (fresh(entry)) {
-                for (Progress progress : entry.pulse().getProgress()) {
-                    if (progress.getJob().equals(job)) {
-                        return progress;
-                    }
-                }
-            }
-        }
-        return null;
+        return shown == null || !fresh(shown) ? null : progress.get(job);
     }
 
     public String address(String node) {
--- a/src/main/java/notchpick/coordination/Placer.java
+++ b/src/main/java/notchpick/coordination/Placer.java
@@ -13,6 +13,7 @@
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.Packing;
+import notchpick.scheduling.SiteIndex;
 
 /** Places the tasks of a team within the room leased to the controller that holds the team's jobs. */
 public final class Placer {
@@ -58,6 +59,7 @@
     public static Placements place(Grant grant, String node) {
         List<LeasedRoom> rooms = new ArrayList<>();
         grant.getRooms().forEach(room -> rooms.add(new LeasedRoom(room)));
+        SiteIndex<LeasedRoom> index = new SiteIndex<>(rooms);
         List<Placed> placed = new ArrayList<>();
         for (Want want : grant.getWants()) {
             Amounts demand = new Amounts(want.getCores(), want.getGpus(), want.getRam());
@@ -66,11 +68,11 @@
                     false, want.getSpot(), want.getImage(), 0, 0, 0, 0, null, 0);
             Map<String, Integer> zoneRoom = new HashMap<>(want.getZoneRoom());
             for (int task : want.getTasks()) {
-                LeasedRoom room = Packing.choose(rooms, spec, r -> zoneRoom.getOrDefault(r.zone(), 1) > 0);
+                LeasedRoom room = index.choose(spec, r -> zoneRoom.getOrDefault(r.zone(), 1) > 0);
                 if (room == null) {
                     break;
                 }
-                room.left = room.left.minus(demand);
+                index.change(room, () -> room.left = room.left.minus(demand));
                 zoneRoom.computeIfPresent(room.zone(), (zone, left) -> left - 1);
                 placed.add(new Placed(want.getJob(), task, room.room.getMachine()));
             }
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Reports.java
@@ -0,0 +1,355 @@
+package notchpick.coordination;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import notchpick.bookkeeping.Binding;
+import notchpick.bookkeeping.Binding.Phase;
+import notchpick.bookkeeping.Job;
+import notchpick.bookkeeping.Machine;
+import notchpick.bookkeeping.Machine.Life;
+import notchpick.bookkeeping.Roster;
+import notchpick.protocol.Json;
+import notchpick.protocol.WorkerWire;
+import notchpick.protocol.WorkerWire.Exit;
+import notchpick.protocol.WorkerWire.Forget;
+import notchpick.protocol.WorkerWire.Order;
+import notchpick.protocol.WorkerWire.Report;
+import notchpick.protocol.WorkerWire.Start;
+import notchpick.protocol.WorkerWire.Stop;
+import notchpick.protocol.WorkerWire.TaskReport;
+import notchpick.scheduling.Estimates;
+import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.transport.Caller.Answer;
+import notchpick.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's dealings with workers: takes their reports in, and answers them with orders. */
+final class Reports {
+    private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+    /** A report's answer waits this long for what the report made possible, as a part of its period. */
+    private static final double HOLD_RATIO = 0.1;
+
+    private final EventLoop loop;
+    private final Deployment deployment;
+    private final Roster roster;
+    private final Estimates estimates;
+    private final Fleet fleet;
+    private final OpenJobs jobs;
+    private final Starts starts;
+    private final long term;
+    private final BooleanSupplier mayOrder;
+    private final LongSupplier rounds;
+    private final Runnable news;
+    private final BiConsumer<Long, Runnable> timer;
+    private final Map<Machine, Held> held = new LinkedHashMap<>();
+
+    /** A report whose answer is still to be given, and how many rounds had begun when it came. */
+    private record Held(Consumer<Answer> reply, List<TaskReport> tasks, long rounds) {}
+
+    /**
+     * @param mayOrder whether the claim to lead still stands
+     * @param rounds how many rounds of granting have begun
+     * @param news hears when a report may have made room
+     */
+    Reports(EventLoop loop, Deployment deployment, Roster roster, Estimates estimates, Fleet fleet, OpenJobs jobs,
+            Starts starts, long term, BooleanSupplier mayOrder, LongSupplier rounds, Runnable news,
+            BiConsumer<Long, Runnable> timer) {
+        this.loop = loop;
+        this.deployment = deployment;
+        this.roster = roster;
+        this.estimates = estimates;
+        this.fleet = fleet;
+        this.jobs = jobs;
+        this.starts = starts;
+        this.term = term;
+        this.mayOrder = mayOrder;
+        this.rounds = rounds;
+        this.news = news;
+        this.timer = timer;
+    }
+
+    static Answer refusal() {
+        return new Answer(503, Json.bytes(Json.object()));
+    }
+
+    static Answer orders(long term, List<Order> orders) {
+        return new Answer(200, Json.bytes(WorkerWire.orders(term, orders)));
+    }
+
+    void receive(Report report, Consumer<Answer> reply) {
+        long now = loop.now();
+        if (fleet.wasReleased(report.machine())) {
+            // A late report of a machine that is surely gone.
+            reply.accept(refusal());
+            return;
+        }
+        Machine machine = roster.machines.computeIfAbsent(report.machine(), name -> {
+            LOG.info("machine {} reports unasked", name);
+            return new Machine(name, new Pool(report.type(), report.zone(), report.spot()),
+                    fleet.size(report.type()), now);
+        });
+        if (report.session() < machine.session
+                || report.session() == machine.session && report.sequence() <= machine.sequence) {
+            reply.accept(refusal());
+            return;
+        }
+        // The worker has given an earlier report up.
+        refuse(machine);
+        if (machine.life == Life.BOOTING) {
+            machine.life = Life.UP;
+            machine.idleSince = now;
+            LOG.info("machine {} is up after {} s", machine.name, (now - machine.knownSince) / 1000);
+        }
+        boolean changed = reconcile(machine, report, now);
+        Held open = new Held(reply, report.tasks(), rounds.getAsLong());
+        held.put(machine, open);
+        if (changed) {
+            news.run();
+            timer.accept((long) (deployment.reportS() * 1000 * HOLD_RATIO), () -> {
+                if (held.get(machine) == open) {
+                    answer(machine);
+                }
+            });
+        } else {
+            answer(machine);
+        }
+    }
+
+    /** Brings the machine's bindings in line with its report; true if something ended or is new. */
+    private boolean reconcile(Machine machine, Report report, long now) {
+        boolean changed = !machine.everReported;
+        if (machine.everReported && report.session() > machine.session) {
+            LOG.info("machine {} begins session {}", machine.name, report.session());
+            // Its lease had run out: all that was there has been killed.
+            for (Binding binding : List.copyOf(machine.bindings.values())) {
+                if (binding.phase == Phase.SENT || binding.phase == Phase.SEEN) {
+                    roster.unbind(binding);
+                }
+            }
+            changed = true;
+        }
+        machine.everReported = true;
+        machine.session = report.session();
+        machine.sequence = report.sequence();
+        machine.reportedAt = now;
+        machine.noticeS = report.noticeS();
+        Set<Binding> there = new HashSet<>();
+        for (TaskReport task : report.tasks()) {
+            Binding binding = machine.bindings.get(task.name());
+            if (task.phase() == WorkerWire.Phase.EXITED) {
+                if (binding != null && binding.attempt == task.attempt()
+                        && binding.phase != Phase.PLANNED && binding.phase != Phase.READY) {
+                    exited(binding, task.exit(), now);
+                    changed = true;
+                }
+                Job job = roster.jobs.get(task.job());
+                if (task.exit() == Exit.DONE && job != null && job.finish(task.task())) {
+                    machine.failedJobs.clear();
+                    jobs.finished(job, task.task());
+                    changed = true;
+                }
+            } else {
+                Binding seen = seen(machine, binding, task);
+                if (seen != null) {
+                    there.add(seen);
+                    boolean running = task.phase() != WorkerWire.Phase.FETCHING;
+                    if (running && !seen.running) {
+                        seen.running = true;
+                        seen.runningSince = now;
+                        Job job = roster.jobs.get(task.job());
+                        if (job != null) {
+                            job.running++;
+                        }
+                    }
+                    seen.saving = task.phase() == WorkerWire.Phase.SAVING;
+                }
+            }
+        }
+        if (there.size() < machine.bindings.size()) {
+            changed |= dropAbsent(machine, there, report.token());
+        }
+        if (!machine.settled && (report.token() >= term || !machine.hinted)) {
+            machine.settled = true;
+            changed = true;
+        }
+        if (changed && machine.isIdle()) {
+            machine.idleSince = now;
+        }
+        return changed;
+    }
+
+    /** What the report does not name is gone, as far as this can be sure. */
+    private boolean dropAbsent(Machine machine, Set<Binding> there, long token) {
+        boolean dropped = false;
+        for (Binding binding : List.copyOf(machine.bindings.values())) {
+            boolean left = !there.contains(binding) && switch (binding.phase) {
+                case PLANNED, READY -> false;
+                // Its order was executed before this report was made, or never will be.
+                case SENT, SEEN -> true;
+                // Only a worker that has seen this term drops what the former leader may still send.
+                case HINTED -> token >= term;
+            };
+            if (left) {
+                roster.unbind(binding);
+                dropped = true;
+            }
+        }
+        return dropped;
+    }
+
+    /** The binding that a reported live task stands for, made if need be; null if it must go. */
+    private Binding seen(Machine machine, Binding binding, TaskReport task) {
+        if (binding != null) {
+            if (binding.attempt != task.attempt() && binding.phase != Phase.HINTED) {
+                return null;
+            }
+            if (binding.phase == Phase.PLANNED || binding.phase == Phase.READY) {
+                return null;
+            }
+            binding.attempt = task.attempt();
+            binding.phase = Phase.SEEN;
+            return binding;
+        }
+        Job job = roster.jobs.get(task.job());
+        if (job == null || task.task() >= job.spec.tasks() || job.done.get(task.task())
+                || job.bound.containsKey(task.task()) || job.leased.get(task.task())) {
+            return null;
+        }
+        Binding found = roster.bind(job.spec, task.task(), machine, task.attempt(), Phase.SEEN);
+        starts.save(found);
+        return found;
+    }
+
+    private void exited(Binding binding, Exit exit, long now) {
+        Machine machine = binding.machine;
+        roster.unbind(binding);
+        Job job = roster.jobs.get(binding.spec.id());
+        switch (exit) {
+            case DONE -> {
+                if (binding.running) {
+                    estimates.observe(binding.spec, (now - binding.runningSince) / 1000.0);
+                }
+                if (job != null) {
+                    job.failures = 0;
+                }
+            }
+            case STOPPED -> { }
+            case ERROR -> failed(machine, job, binding, now);
+            case FULL, IN_USE -> machine.quarantinedUntil = now + (long) (deployment.reportS() * 1000);
+            case UNKNOWN -> {
+                if (job != null) {
+                    job.notBefore = now + (long) (deployment.reportS() * 1000);
+                }
+            }
+        }
+    }
+
+    /** A machine is blamed only for jobs that have not failed on several machines. */
+    private void failed(Machine machine, Job job, Binding binding, long now) {
+        LOG.info("task {} failed on {}", binding.taskName(), machine.name);
+        machine.failedJobs.put(binding.spec.id(), now);
+        if (job == null) {
+            return;
+        }
+        job.failures++;
+        job.hasFailed = true;
+        long elsewhere = roster.machines.values().stream()
+                .filter(other -> other != machine && other.failedJobs.containsKey(binding.spec.id())).count();
+        if (elsewhere >= 2) {
+            job.notBefore = now + (long) (deployment.reportS() * 1000 * Math.min(20, job.failures));
+        } else if (machine.failedJobs.size() >= 2 && machine.life == Life.UP) {
+            LOG.info("machine {} fails what it starts: it goes", machine.name);
+            machine.life = Life.LEAVING;
+        }
+    }
+
+    // ---- answers -------------------------------------------------------------------------------
+
+    /** Its report won't be answered any more. */
+    void refuse(Machine machine) {
+        Held open = held.remove(machine);
+        if (open != null) {
+            open.reply().accept(refusal());
+        }
+    }
+
+    void refuseAll() {
+        List.copyOf(held.keySet()).forEach(this::refuse);
+    }
+
+    /** Answers every report that nothing more is awaited for. */
+    void answerHeld() {
+        List<Machine> due = new ArrayList<>();
+        held.forEach((machine, open) -> {
+            if (!awaits(machine, open)) {
+                due.add(machine);
+            }
+        });
+        due.forEach(this::answer);
+    }
+
+    private boolean awaits(Machine machine, Held open) {
+        if (machine.isLeased() || open.rounds() == rounds.getAsLong()) {
+            return true;
+        }
+        for (Binding binding : machine.bindings.values()) {
+            if (binding.phase == Phase.PLANNED) {
+                return true;
+            }
+        }
+        for (TaskReport task : open.tasks()) {
+            if (task.phase() == WorkerWire.Phase.EXITED && !mayForget(task)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A done task's worker may forget it only when the state service has it. */
+    private boolean mayForget(TaskReport task) {
+        Job job = roster.jobs.get(task.job());
+        return task.exit() != Exit.DONE || job == null || job.spec.isService()
+                || task.task() >= job.spec.tasks() || job.durable.get(task.task());
+    }
+
+    void answer(Machine machine) {
+        Held open = held.remove(machine);
+        if (open == null) {
+            return;
+        }
+        List<Order> orders = new ArrayList<>();
+        // A claim that has lapsed entitles to nothing but keeping the worker alive.
+        if (mayOrder.getAsBoolean()) {
+            for (TaskReport task : open.tasks()) {
+                Binding binding = machine.bindings.get(task.name());
+                if (task.phase() == WorkerWire.Phase.EXITED) {
+                    if (mayForget(task)) {
+                        orders.add(new Forget(task.name(), task.attempt()));
+                    }
+                } else if (binding == null || binding.attempt != task.attempt()
+                        // Cancelled while nobody led: its hint was read, its job was not open any more.
+                        || !roster.jobs.containsKey(task.job())) {
+                    orders.add(new Stop(task.name(), task.attempt(), 0));
+                } else if (binding.stopGraceS != null && !(binding.saving && binding.stopGraceS > 0)) {
+                    orders.add(new Stop(task.name(), task.attempt(), binding.stopGraceS));
+                }
+            }
+            for (Binding binding : machine.bindings.values()) {
+                if (binding.phase == Phase.READY) {
+                    binding.phase = Phase.SENT;
+                    orders.add(new Start(binding.taskName(), binding.attempt));
+                }
+            }
+        }
+        open.reply().accept(orders(term, orders));
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/Starts.java
@@ -0,0 +1,99 @@
+package notchpick.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Binding;
+import notchpick.bookkeeping.Binding.Phase;
+import notchpick.bookkeeping.Job;
+import notchpick.bookkeeping.Ledger;
+import notchpick.bookkeeping.Machine;
+import notchpick.bookkeeping.Machine.Life;
+import notchpick.bookkeeping.Records;
+import notchpick.bookkeeping.Records.Hint;
+import notchpick.bookkeeping.Roster;
+import notchpick.bookkeeping.SharedValues;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Listing;
+import notchpick.transport.EventLoop;
+
+/** Keeps durable which tasks may be on which machines; an order goes out only once its start is. */
+final class Starts {
+    private final EventLoop loop;
+    private final Roster roster;
+    private final Ledger ledger;
+    private final Fleet fleet;
+    private final Consumer<Machine> ready;
+    private final SharedValues<Binding> values;
+
+    /** @param ready hears of machines that have starts which may now be ordered */
+    Starts(EventLoop loop, Deployment deployment, Roster roster, Ledger ledger, Fleet fleet,
+            Consumer<Machine> ready) {
+        this.loop = loop;
+        this.roster = roster;
+        this.ledger = ledger;
+        this.fleet = fleet;
+        this.ready = ready;
+        this.values = new SharedValues<>(ledger, Records.STARTS, new SharedValues.Form<>() {
+            @Override
+            public int bytes(Binding binding) {
+                return Records.startBytes(binding);
+            }
+
+            @Override
+            public JsonNode value(Collection<Binding> bindings) {
+                return Records.starts(bindings);
+            }
+        }, SharedValues.Fill.EMPTIEST, deployment.valueBytes(), deployment.txnOps(), this::durable);
+    }
+
+    /** What a former leader may have sent: it blocks those tasks, and counts, until workers tell. */
+    void load(Listing listing) {
+        for (Entry entry : listing.entries()) {
+            ledger.known(entry.key(), entry.version());
+            Set<Binding> loaded = new HashSet<>();
+            for (Hint hint : Records.hints(entry.value())) {
+                Machine machine = roster.machines.computeIfAbsent(hint.machine(), name -> {
+                    Machine found = new Machine(name, hint.pool(), fleet.size(hint.pool().type()), loop.now());
+                    found.life = Life.UP;
+                    return found;
+                });
+                machine.hinted = true;
+                Job job = roster.jobs.get(hint.job().id());
+                if (job == null || !job.done.get(hint.task())) {
+                    loaded.add(roster.bind(job == null ? hint.job() : job.spec, hint.task(), machine,
+                            hint.attempt(), Phase.HINTED));
+                }
+            }
+            values.loaded(entry.key(), loaded);
+        }
+    }
+
+    void save(Binding binding) {
+        values.save(binding);
+    }
+
+    /** The task surely is not on its machine any more. */
+    void over(Binding binding) {
+        values.drop(binding);
+    }
+
+    void tidy() {
+        values.tidy();
+    }
+
+    private void durable(List<Binding> written) {
+        Set<Machine> machines = new LinkedHashSet<>();
+        for (Binding binding : written) {
+            if (binding.phase == Phase.PLANNED && binding.machine.bindings.get(binding.taskName()) == binding) {
+                binding.phase = Phase.READY;
+                machines.add(binding.machine);
+            }
+        }
+        machines.forEach(ready);
+    }
+}
--- /dev/null
+++ b/src/main/java/notchpick/coordination/TakeOver.java
@@ -0,0 +1,87 @@
+package notchpick.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import notchpick.bookkeeping.Ledger;
+import notchpick.bookkeeping.Records;
+import notchpick.protocol.Json;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Listing;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+
+/**
+ * Reads what a former leader left, one kind of records after the other. Jobs come first: what the
+ * others then tell of is a job that is open, or one that is over for good.
+ */
+final class TakeOver {
+    private static final long RETRY_MS = 200;
+
+    private final StateApi state;
+    private final Ledger ledger;
+    private final BiConsumer<Long, Runnable> timer;
+    private final OpenJobs jobs;
+    private final Starts starts;
+    private final Fleet fleet;
+    private final Granting granting;
+    private final LongConsumer done;
+
+    /** @param done hears of the revision from which users' changes must be watched */
+    TakeOver(StateApi state, Ledger ledger, BiConsumer<Long, Runnable> timer, OpenJobs jobs, Starts starts,
+            Fleet fleet, Granting granting, LongConsumer done) {
+        this.state = state;
+        this.ledger = ledger;
+        this.timer = timer;
+        this.jobs = jobs;
+        this.starts = starts;
+        this.fleet = fleet;
+        this.granting = granting;
+        this.done = done;
+    }
+
+    void begin() {
+        list(Records.OPEN, open -> {
+            jobs.load(open);
+            list(Records.DONE_TASKS, marks -> {
+                jobs.loadDone(marks);
+                list(Records.STARTS, started -> {
+                    starts.load(started);
+                    get(Records.RELEASED, released -> {
+                        fleet.load(Records.released(released));
+                        get(Records.COMMITMENTS, commitments -> {
+                            granting.commitments().putAll(Records.commitments(commitments));
+                            done.accept(open.revision());
+                        });
+                    });
+                });
+            });
+        });
+    }
+
+    private void list(String prefix, Consumer<Listing> then) {
+        state.listAll(prefix, result -> timer.accept(0L, () -> {
+            if (result instanceof Ok<Listing> ok) {
+                then.accept(ok.value());
+            } else {
+                timer.accept(RETRY_MS, () -> list(prefix, then));
+            }
+        }));
+    }
+
+    /** Gives an empty object where there is no such key. */
+    private void get(String key, Consumer<JsonNode> then) {
+        state.get(key, result -> timer.accept(0L, () -> {
+            if (result instanceof Ok<Entry> ok) {
+                ledger.known(key, ok.value().version());
+                then.accept(ok.value().value());
+            } else if (result instanceof Missing<Entry>) {
+                then.accept(Json.object());
+            } else {
+                timer.accept(RETRY_MS, () -> get(key, then));
+            }
+        }));
+    }
+}
--- a/src/main/java/notchpick/protocol/Json.java
+++ b/src/main/java/notchpick/protocol/Json.java
@@ -41,6 +41,17 @@
         }
     }
 
+    /** As many bytes as a text takes at the most, its quotes included. */
+    public static int textBytes(String text) {
+        int bytes = 2;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            // An escape takes six.
+            bytes += c >= ' ' && c < 127 && c != '"' && c != '\\' ? 1 : 6;
+        }
+        return bytes;
+    }
+
     /** A field that must be text. */
     static String text(JsonNode object, String field) throws InvalidMessage {
         JsonNode node = object.get(field);
--- a/src/main/java/notchpick/protocol/WorkerWire.java
+++ b/src/main/java/notchpick/protocol/WorkerWire.java
@@ -15,7 +15,7 @@
     public enum Exit { DONE, STOPPED, ERROR, FULL, IN_USE, UNKNOWN }
 
     /** One task as its worker sees it; exit is null until it has exited. */
-    public record TaskReport(String job, int task, long attempt, Phase phase, Exit exit) {}
+    public record TaskReport(String name, String job, int task, long attempt, Phase phase, Exit exit) {}
 
     /** @param noticeS null, or seconds until the cloud takes the machine away */
     public record Report(
@@ -24,18 +24,17 @@
 
     /** Something the worker shall do. */
     public sealed interface Order {
-        String job();
-
-        int task();
+        /** The task's name. */
+        String task();
 
         long attempt();
     }
 
-    public record Start(String job, int task, long attempt) implements Order {}
+    public record Start(String task, long attempt) implements Order {}
 
-    public record Stop(String job, int task, long attempt, double graceS) implements Order {}
+    public record Stop(String task, long attempt, double graceS) implements Order {}
 
-    public record Forget(String job, int task, long attempt) implements Order {}
+    public record Forget(String task, long attempt) implements Order {}
 
     public static Report report(ObjectNode body) throws InvalidMessage {
         if (body == null) {
@@ -91,7 +90,7 @@
                 default -> Exit.ERROR;
             };
         }
-        return new TaskReport(
+        return new TaskReport(name,
                 name.substring(0, slash), index, Json.count(piece, "tryNo", 0, Long.MAX_VALUE), phase, exit);
     }
 
@@ -107,7 +106,7 @@
             } else {
                 node.put("orderKind", "clear");
             }
-            node.put("piece", order.job() + "/" + order.task()).put("tryNo", order.attempt());
+            node.put("piece", order.task()).put("tryNo", order.attempt());
         }
         return answer;
     }
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -110,7 +110,8 @@
 
     private static int pack(Need need, Slot slot, int wanted) {
         JobSpec spec = need.spec();
-        if (!spec.allows(slot.pool.type(), slot.pool.zone(), slot.pool.spot())
+        if (slot.room.cores() + Amounts.SLACK < spec.demand().cores()
+                || !spec.allows(slot.pool.type(), slot.pool.zone(), slot.pool.spot())
                 || !slot.pool.spot() && spec.spot() && !need.pressed()) {
             return 0;
         }
--- a/src/main/java/notchpick/scheduling/JobSpec.java
+++ b/src/main/java/notchpick/scheduling/JobSpec.java
@@ -37,6 +37,11 @@
     /** Highest first. */
     public enum Priority { PRODUCTION, HIGH, NORMAL, LOW }
 
+    /** The name under which workers know one task of a job. */
+    public static String taskName(String job, int task) {
+        return job + "/" + task;
+    }
+
     public boolean isService() {
         return form == Form.SERVICE;
     }
--- /dev/null
+++ b/src/main/java/notchpick/scheduling/SiteIndex.java
@@ -0,0 +1,126 @@
+package notchpick.scheduling;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Sites sorted by the room that is left, so that {@link Packing}'s choice looks only at those that may
+ * be the best: it chooses what {@link Packing#choose} would choose among the same sites in the same order.
+ */
+public final class SiteIndex<S extends Packing.Site> {
+    private static final Comparator<Entry<?>> ORDER =
+            Comparator.<Entry<?>>comparingDouble(Entry::cores).thenComparingInt(Entry::number);
+
+    private record Entry<S>(double cores, int number, S site) {}
+
+    /** Sites of one kind: all of them, and by image those that have it, once it has been asked for. */
+    private static final class Kind<S extends Packing.Site> {
+        private final TreeSet<Entry<S>> all = new TreeSet<>(ORDER);
+        private final Map<String, TreeSet<Entry<S>>> byImage = new HashMap<>();
+
+        private void add(Entry<S> entry) {
+            all.add(entry);
+            byImage.forEach((image, having) -> {
+                if (entry.site().images().contains(image)) {
+                    having.add(entry);
+                }
+            });
+        }
+
+        private void remove(Entry<S> entry) {
+            all.remove(entry);
+            byImage.values().forEach(having -> having.remove(entry));
+        }
+
+        private TreeSet<Entry<S>> having(String image) {
+            return byImage.computeIfAbsent(image, i -> {
+                TreeSet<Entry<S>> having = new TreeSet<>(ORDER);
+                for (Entry<S> entry : all) {
+                    if (entry.site().images().contains(i)) {
+                        having.add(entry);
+                    }
+                }
+                return having;
+            });
+        }
+    }
+
+    private final Kind<S> cheap = new Kind<>();
+    private final Kind<S> ordinary = new Kind<>();
+    private final Map<S, Entry<S>> entries = new IdentityHashMap<>();
+    private long looks;
+
+    public SiteIndex(Collection<S> sites) {
+        for (S site : sites) {
+            put(new Entry<>(site.room().cores(), entries.size(), site));
+        }
+    }
+
+    private Kind<S> kind(S site) {
+        return site.spot() ? cheap : ordinary;
+    }
+
+    private void put(Entry<S> entry) {
+        entries.put(entry.site(), entry);
+        kind(entry.site()).add(entry);
+    }
+
+    /** Makes a change of a site's room or images. */
+    public void change(S site, Runnable change) {
+        Entry<S> entry = entries.get(site);
+        kind(site).remove(entry);
+        change.run();
+        put(new Entry<>(site.room().cores(), entry.number(), site));
+    }
+
+    public void remove(S site) {
+        Entry<S> entry = entries.remove(site);
+        if (entry != null) {
+            kind(site).remove(entry);
+        }
+    }
+
+    /** The sites in the order in which they were given. */
+    public Collection<S> sites() {
+        return entries.values().stream().sorted(Comparator.comparingInt(Entry::number)).map(Entry::site).toList();
+    }
+
+    /** How many sites have been looked at in all. */
+    public long looks() {
+        return looks;
+    }
+
+    /** The best of the sites for one task, or null if none will do. */
+    public S choose(JobSpec spec, Predicate<S> admits) {
+        S best = spec.spot() ? choose(cheap, spec, admits) : null;
+        return best != null ? best : choose(ordinary, spec, admits);
+    }
+
+    private S choose(Kind<S> kind, JobSpec spec, Predicate<S> admits) {
+        if (kind.all.isEmpty()) {
+            return null;
+        }
+        S best = first(kind.having(spec.image()), spec, admits, true);
+        return best != null ? best : first(kind.all, spec, admits, false);
+    }
+
+    private S first(TreeSet<Entry<S>> sites, JobSpec spec, Predicate<S> admits, boolean having) {
+        Entry<S> least = new Entry<>(spec.demand().cores() - Amounts.SLACK, -1, null);
+        for (Entry<S> entry : sites.tailSet(least)) {
+            S site = entry.site();
+            looks++;
+            if ((having || !site.images().contains(spec.image()))
+                    && spec.demand().fitsIn(site.room())
+                    && spec.allows(site.type(), site.zone(), site.spot())
+                    && admits.test(site)) {
+                return site;
+            }
+        }
+        return null;
+    }
+}
--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/GrantingTest.java
@@ -32,13 +32,13 @@
     private static final long TERM = 7;
     private final Simulation simulation = new Simulation();
     private final EventLoop loop = simulation.loop(0, 0, () -> true);
-    private final Roster roster = new Roster();
+    private final Roster roster = new Roster(over -> { });
     private final List<Binding> bound = new ArrayList<>();
     private Grant granted;
 
     private final Deployment deployment = new Deployment("n-0", "a:1", "a:2", List.of(new Peer("n-1", "b:2")), "c:1",
             "s:1", List.of("east"), List.of(new Limit("a", Amounts.NONE, Amounts.NONE),
-            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Map.of(), 3, 20, 40, 100, 100, 12, 5, 3, 100);
+            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Map.of(), 3, 20, 40, 100, 100, 16 << 10, 12, 5, 3, 100);
     private final Peers peers = new Peers(loop, deployment, (call, timeoutMs, then) -> {
         if (PeerWire.body(call.body()) instanceof Grant grant) {
             granted = grant;
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -139,7 +139,7 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, 300, 100, 12, 10,
+                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, 300, 100, 16 << 10, 12, 10,
                 3, 1000);
         // Clocks at the edges of their bounds.
         double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
