--- a/src/test/java/notchpick/rehearsal/Rehearsal.java
+++ b/src/test/java/notchpick/rehearsal/Rehearsal.java
@@ -75,6 +75,11 @@
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         try {
             play("http://" + ports.get(2), "http://" + ports.get(3));
+        } catch (IllegalStateException e) {
+            System.err.println("rehearsal: " + e.getMessage());
+            // The stand-ins' threads must not hold the build up.
+            controller.destroy();
+            System.exit(1);
         } finally {
             controller.destroy();
             controller.waitFor(30, TimeUnit.SECONDS);
@@ -106,7 +111,8 @@
         deployment.putArray("zones").add("east");
         deployment.putArray("teams").addObject().put("name", "a");
         deployment.putObject("workers").put("report_s", 1.0).put("lease_s", 8.0).put("cancel_s", 20.0);
-        deployment.putObject("state").put("rps", 500.0).put("write_rps", 100.0).put("txn_ops", 12);
+        deployment.putObject("state").put("rps", 500.0).put("write_rps", 100.0).put("value_kb", 16.0)
+                .put("txn_ops", 12);
         deployment.putObject("cloud").put("rps", 5.0).put("list_lag_s", 1.0);
         deployment.putObject("machine_limits").put("fd_limit", 500);
         return root;
