--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -10,7 +10,7 @@
 import notchpick.transport.Handler;
 import notchpick.transport.JettyCaller;
 import notchpick.transport.JettyServer;
-import notchpick.transport.SingleThreadLoop;
+import notchpick.transport.SerialLoop;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -93,7 +93,7 @@
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", false);
         scheduler.start();
         JettyCaller caller = new JettyCaller(threads, scheduler, CONNECTIONS_PER_TARGET, CONNECT_TIMEOUT_MS);
-        Controller controller = new Controller(new SingleThreadLoop(), deployment, tuned, caller, new Random());
+        Controller controller = new Controller(new SerialLoop(), deployment, tuned, caller, new Random());
         Handler outside = controller::serve;
         Handler peers = controller::servePeer;
         JettyServer server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(),
