--- a/src/main/java/notchpick/transport/JettyServer.java
+++ b/src/main/java/notchpick/transport/JettyServer.java
@@ -31,6 +31,8 @@
         HttpConfiguration config = new HttpConfiguration();
         config.setSendServerVersion(false);
         config.setSendDateHeader(false);
+        // Each connection would keep 100 KB for its cache of header fields, and there are thousands.
+        config.setHeaderCacheSize(0);
         config.setOutputBufferSize(8 << 10);
         for (String address : served.keySet()) {
             int colon = address.lastIndexOf(':');
