--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -39,7 +39,7 @@
 
     public record Begin() implements Message {}
 
-    private record FromOutside(Call call, Consumer<Answer> reply) implements Message {}
+    private record FromOutside(Call call, Consumer<Answer> reply, long at) implements Message {}
 
     private record FromPeer(Call call, Consumer<Answer> reply) implements Message {}
 
@@ -48,6 +48,8 @@
     private static final long TYPES_PERIOD_MS = 30_000;
     private static final long RETRY_MS = 500;
     private static final long RELAY_TIMEOUT_MS = 2000;
+    /** A worker waits this long for an answer. */
+    private static final long WORKER_PATIENCE_MS = 4000;
 
     private final Deployment deployment;
     private final Tuning tuning;
@@ -77,7 +79,7 @@
 
     /** Serves users, workers and health checks. */
     public void serve(Call call, Consumer<Answer> reply) {
-        tell(new FromOutside(call, reply));
+        tell(new FromOutside(call, reply, loop.now()));
     }
 
     /** Serves the other controllers. */
@@ -93,16 +95,19 @@
             learnTypes();
             every((long) (deployment.reportS() * 1000), () -> redirects /= 2);
         } else if (message instanceof FromOutside outside) {
-            outside(outside.call(), outside.reply());
+            outside(outside.call(), outside.reply(), outside.at());
         } else if (message instanceof FromPeer peer) {
             peer(peer.call(), peer.reply());
         }
     }
 
-    private void outside(Call call, Consumer<Answer> reply) {
+    private void outside(Call call, Consumer<Answer> reply, long at) {
         String path = call.path();
         if (path.equals("/hello")) {
-            if (call.method().equals("POST")) {
+            if (loop.now() - at > WORKER_PATIENCE_MS) {
+                // Its worker has given it up; to look at it would only make the next ones late too.
+                reply.accept(new Answer(503, new byte[0]));
+            } else if (call.method().equals("POST")) {
                 report(call, reply);
             } else {
                 reply.accept(new Answer(405, new byte[0]));
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -47,6 +47,8 @@
 
     /** So many report periods a job stays away from a machine on which a task of it failed. */
     private static final int SHUN_REPORTS = 20;
+    /** How often tasks may be told to give way, in report periods. */
+    private static final double MAKE_ROOM_RATIO = 0.2;
     private static final BitSet NO_TASKS = new BitSet();
 
     private final EventLoop loop;
@@ -67,6 +69,7 @@
     private final Map<String, Long> distrustedUntil = new HashMap<>();
     private long updatedAt;
     private long lastLease;
+    private long roomMadeAt;
 
     /** Room that is leased to the holder of a team's jobs. */
     private static final class Leased {
@@ -218,7 +221,11 @@
             }
         }
         turns.forEach(turn -> lease(turn.leased));
-        makeRoom(turns, now);
+        // It looks at every task that runs, and who waits has waited for a report period anyway.
+        if (now - roomMadeAt >= deployment.reportS() * 1000 * MAKE_ROOM_RATIO) {
+            roomMadeAt = now;
+            makeRoom(turns, now);
+        }
     }
 
     /** Has tasks saved and stopped that keep guaranteed or urgent work waiting. */
--- /dev/null
+++ b/src/test/java/notchpick/scheduling/SiteIndexTest.java
@@ -0,0 +1,121 @@
+package notchpick.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+
+/** The index chooses what the plain form does, and looks at few sites for it. */
+class SiteIndexTest {
+    private static final class Site implements Packing.Site {
+        private final String type;
+        private final String zone;
+        private final boolean spot;
+        private final Set<String> images = new HashSet<>();
+        private Amounts room;
+
+        Site(String type, String zone, boolean spot, Amounts room) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.room = room;
+        }
+
+        @Override
+        public String type() {
+            return type;
+        }
+
+        @Override
+        public String zone() {
+            return zone;
+        }
+
+        @Override
+        public boolean spot() {
+            return spot;
+        }
+
+        @Override
+        public Amounts room() {
+            return room;
+        }
+
+        @Override
+        public Set<String> images() {
+            return images;
+        }
+    }
+
+    private static JobSpec spec(Random random) {
+        return new JobSpec("run-1", "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 1,
+                new Amounts(0.5 * (1 + random.nextInt(8)), 0, 1 + random.nextInt(6)),
+                random.nextInt(3) == 0 ? List.of("small") : null, random.nextInt(3) == 0 ? "east" : null, false, false,
+                random.nextInt(4) > 0, "i" + random.nextInt(4), 1, 10, 0, 0, null, 0);
+    }
+
+    @Test
+    void choosesAsThePlainFormDoes() {
+        for (int seed = 0; seed < 60; seed++) {
+            Random random = new Random(seed);
+            List<Site> sites = new ArrayList<>();
+            for (int i = 0; i < 5 + random.nextInt(60); i++) {
+                Site site = new Site(random.nextBoolean() ? "small" : "large", random.nextBoolean() ? "east" : "west",
+                        random.nextInt(3) > 0, new Amounts(0.5 * random.nextInt(17), 0, random.nextInt(17)));
+                for (int image = 0; image < 4; image++) {
+                    if (random.nextInt(3) == 0) {
+                        site.images.add("i" + image);
+                    }
+                }
+                sites.add(site);
+            }
+            SiteIndex<Site> index = new SiteIndex<>(sites);
+            for (int task = 0; task < 200; task++) {
+                JobSpec spec = spec(random);
+                Site shunned = sites.get(random.nextInt(sites.size()));
+                Predicate<Site> admits = site -> site != shunned;
+                Site chosen = index.choose(spec, admits);
+                assertSame(Packing.choose(sites, spec, admits), chosen, "seed " + seed + " task " + task);
+                if (chosen != null && random.nextInt(4) > 0) {
+                    index.change(chosen, () -> {
+                        chosen.room = chosen.room.minus(spec.demand());
+                        chosen.images.add(spec.image());
+                    });
+                }
+                if (random.nextInt(50) == 0) {
+                    Site removed = sites.remove(random.nextInt(sites.size()));
+                    index.remove(removed);
+                    if (sites.isEmpty()) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    void looksAtFewSitesHoweverManyThereAre() {
+        List<Site> sites = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            sites.add(new Site("small", "east", true, new Amounts(8, 0, 64)));
+        }
+        SiteIndex<Site> index = new SiteIndex<>(sites);
+        JobSpec spec = new JobSpec("run-1", "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 1,
+                new Amounts(1, 0, 1), null, null, false, false, true, "i", 1, 10, 0, 0, null, 0);
+        int tasks = 4000;
+        for (int i = 0; i < tasks; i++) {
+            Site chosen = index.choose(spec, site -> true);
+            index.change(chosen, () -> {
+                chosen.room = chosen.room.minus(spec.demand());
+                chosen.images.add("i");
+            });
+        }
+        assertTrue(index.looks() <= 2L * tasks, "looked at " + index.looks() + " sites for " + tasks + " tasks");
+    }
+}
