--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -39,6 +39,7 @@
     @MethodSource("scenarios")
     void plays(Path file) throws Exception {
         int controllers = 3;
+        double writesPerS = 100;
         List<Limit> teams = new ArrayList<>();
         List<MachineType> types = new ArrayList<>();
         List<String[]> pools = new ArrayList<>();
@@ -47,6 +48,7 @@
             String[] words = line.strip().split("\\s+");
             switch (words[0]) {
                 case "", "#" -> { }
+                case "writes-per-second" -> writesPerS = Double.parseDouble(words[1]);
                 case "controllers" -> controllers = Integer.parseInt(words[1]);
                 case "team" -> teams.add(new Limit(words[1],
                         new Amounts(Double.parseDouble(words[2]), 0, 0),
@@ -63,7 +65,7 @@
         types = types.isEmpty()
                 ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
                 : types;
-        World world = new World(controllers, teams, types);
+        World world = new World(controllers, teams, types, writesPerS);
         if (pools.isEmpty()) {
             world.capacity("m8", "east", true, 4);
             world.capacity("m8", "west", true, 4);
@@ -206,6 +208,10 @@
                     where + ": " + world.cloud().machines().size());
             case "starts" -> assertTrue(world.rules().starts() <= Integer.parseInt(words[5]), () ->
                     where + ": " + world.rules().starts());
+            case "writes" -> assertTrue(world.state().writes() <= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.state().writes());
+            case "over-rate" -> assertTrue(world.state().overRate() <= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.state().overRate());
             case "term" -> assertEquals(Integer.parseInt(words[4]), world.term(), where);
             case "status" -> assertEquals(Integer.parseInt(words[5]), world.lastStatus(words[4]), where);
             default -> assertEquals(words[4], world.told(words[3]), where);
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -21,6 +21,9 @@
 
 /** The state service, written from its published protocol. */
 public final class StateStandIn implements Handler {
+    public static final int MAX_VALUE_BYTES = 16 << 10;
+    private static final int MAX_TRANSACTION_BYTES = 64 << 10;
+
     private record Item(JsonNode value, long version, long lease) {}
 
     private record Logged(String key, JsonNode value, long version) {}
@@ -35,6 +38,11 @@
     private final LongSupplier clock;
     private final Timer timer;
     private final int maxWrites;
+    private final double writesPerS;
+    private double writeBudget;
+    private long writeBudgetAt;
+    private long writes;
+    private int overRate;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Long> leaseEnds = new HashMap<>();
     private final Map<Long, Long> leaseLives = new HashMap<>();
@@ -47,10 +55,36 @@
     private int loseAnswers;
     private long applyLateMs;
 
-    public StateStandIn(LongSupplier clock, Timer timer, int maxWrites) {
+    /** @param writesPerS puts and deletes that it takes in a second; bursts of one second's worth */
+    public StateStandIn(LongSupplier clock, Timer timer, int maxWrites, double writesPerS) {
         this.clock = clock;
         this.timer = timer;
         this.maxWrites = maxWrites;
+        this.writesPerS = writesPerS;
+        this.writeBudget = writesPerS;
+        this.writeBudgetAt = clock.getAsLong();
+    }
+
+    /** Puts and deletes so far. */
+    public long writes() {
+        return writes;
+    }
+
+    /** Transactions turned away for the rate of writes. */
+    public int overRate() {
+        return overRate;
+    }
+
+    private boolean withinRate(int changes) {
+        long now = clock.getAsLong();
+        writeBudget = Math.min(writesPerS, writeBudget + (now - writeBudgetAt) * writesPerS / 1000);
+        writeBudgetAt = now;
+        if (writeBudget < changes) {
+            overRate++;
+            return false;
+        }
+        writeBudget -= changes;
+        return true;
     }
 
     public void outage(boolean on) {
@@ -209,9 +243,12 @@
             }
         }
         JsonNode writes = body.path("writes");
-        if (writes.size() > maxWrites) {
+        if (writes.size() > maxWrites || tooLarge(writes)) {
             return new Answer(400, new byte[0]);
         }
+        if (!withinRate(writes.size())) {
+            return new Answer(429, new byte[0]);
+        }
         for (JsonNode write : writes) {
             if (write.has("permit") && !leaseEnds.containsKey(write.path("permit").asLong())) {
                 return new Answer(400, Json.bytes(Json.object().put("error", "no such lease")));
@@ -221,6 +258,7 @@
             return new Answer(409, Json.bytes(conflict.put("ledgerNo", revision)));
         }
         revision++;
+        this.writes += writes.size();
         for (JsonNode write : writes) {
             if (write.has("put")) {
                 String key = write.path("put").asText();
@@ -234,6 +272,15 @@
         return ok(Json.object().put("ledgerNo", revision));
     }
 
+    private static boolean tooLarge(JsonNode writes) {
+        for (JsonNode write : writes) {
+            if (write.has("v") && Json.bytes(write.get("v")).length > MAX_VALUE_BYTES) {
+                return true;
+            }
+        }
+        return Json.bytes(writes).length > MAX_TRANSACTION_BYTES;
+    }
+
     private void changes(Call call, Consumer<Answer> reply) {
         Map<String, String> query = query(call);
         long until = clock.getAsLong() + Long.parseLong(query.getOrDefault("holdMs", "0"));
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -46,18 +46,20 @@
     private final Map<String, String> status = new LinkedHashMap<>();
     private final Map<String, Integer> lastStatus = new HashMap<>();
     private final List<Limit> teams;
+    private final double writesPerS;
     private final RuleBook rules;
     private final StateStandIn state;
     private final CloudStandIn cloud;
     private final List<String> nodes = new ArrayList<>();
     private int turn;
 
-    public World(int count, List<Limit> teams, List<MachineType> machineTypes) {
+    public World(int count, List<Limit> teams, List<MachineType> machineTypes, double writesPerS) {
         this.teams = teams;
+        this.writesPerS = writesPerS;
         Map<String, Double> limits = new HashMap<>();
         teams.stream().filter(t -> t.most().cores() > 0).forEach(t -> limits.put(t.team(), t.most().cores()));
         rules = new RuleBook(simulation::now, (long) (CANCEL_S * 1000), limits);
-        state = new StateStandIn(simulation::now, simulation::after, 12);
+        state = new StateStandIn(simulation::now, simulation::after, 12, writesPerS);
         Map<String, MachineType> types = new LinkedHashMap<>();
         machineTypes.forEach(type -> types.put(type.name(), type));
         for (int i = 0; i < count; i++) {
@@ -139,7 +141,8 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, 300, 100, 16 << 10, 12, 10,
+                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, 300, writesPerS,
+                StateStandIn.MAX_VALUE_BYTES, 12, 10,
                 3, 1000);
         // Clocks at the edges of their bounds.
         double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
