--- a/src/main/java/notchpick/scheduling/SiteIndex.java
+++ b/src/main/java/notchpick/scheduling/SiteIndex.java
@@ -70,9 +70,14 @@
         kind(entry.site()).add(entry);
     }
 
-    /** Makes a change of a site's room or images. */
+    /** Makes a change of a site's room or images; of one that has been removed too, which stays so. */
     public void change(S site, Runnable change) {
         Entry<S> entry = entries.get(site);
+        if (entry == null) {
+            // Chosen, then barred for others before it was granted.
+            change.run();
+            return;
+        }
         kind(site).remove(entry);
         change.run();
         put(new Entry<>(site.room().cores(), entry.number(), site));
--- a/src/test/java/notchpick/scheduling/SiteIndexTest.java
+++ b/src/test/java/notchpick/scheduling/SiteIndexTest.java
@@ -99,6 +99,17 @@
         }
     }
 
+    @Test
+    void aRemovedSiteMayChangeAndStaysAway() {
+        Random random = new Random(1);
+        Site site = new Site("small", "east", true, new Amounts(8, 0, 64));
+        SiteIndex<Site> index = new SiteIndex<>(List.of(site));
+        index.remove(site);
+        index.change(site, () -> site.room = new Amounts(4, 0, 32));
+        assertSame(null, index.choose(spec(random), any -> true));
+        assertTrue(index.sites().isEmpty());
+    }
+
     @Test
     void looksAtFewSitesHoweverManyThereAre() {
         List<Site> sites = new ArrayList<>();
