--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -143,14 +143,11 @@
     }
 
     private List<Need> needs() {
-        List<Waiting> order = new ArrayList<>();
-        Map<JobSpec, Job> jobs = new HashMap<>();
+        List<Waiting<Job>> order = new ArrayList<>();
         for (Job job : roster.jobs.values()) {
             double runS = estimates.runS(job.spec);
-            order.add(new Waiting(job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
-            jobs.put(job.spec, job);
+            order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
         }
-        order.sort(JobOrder.at(loop.wallTime(), deployment.withinS(), 1));
         Map<String, Amounts> byTeam = new HashMap<>();
         double cores = 0;
         for (Machine machine : roster.machines.values()) {
@@ -158,9 +155,9 @@
         }
         double aheadS = 0;
         List<Need> needs = new ArrayList<>();
-        for (Waiting waiting : order) {
+        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.withinS(), 1)) {
             JobSpec spec = waiting.spec();
-            Job job = jobs.get(spec);
+            Job job = waiting.job();
             aheadS += waiting.remainingS();
             int tasks = job.unfinished();
             Deployment.Limit limit = deployment.limit(spec.team());
@@ -182,7 +179,7 @@
     }
 
     /** Whether what there is would finish an urgent job too late, while more machines still could help. */
-    private boolean isPressed(Waiting waiting, double queueS) {
+    private boolean isPressed(Waiting<Job> waiting, double queueS) {
         JobSpec spec = waiting.spec();
         Double dueS = spec.deadlineS() != null ? spec.deadlineS() : deployment.withinS().get(spec.jobClass());
         if (dueS == null || spec.priority().ordinal() > JobSpec.Priority.HIGH.ordinal()) {
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -197,16 +197,14 @@
         SiteIndex<Machine> open = new SiteIndex<>(usable);
         List<Turn> active = new ArrayList<>();
         waiting.forEach((team, jobs) -> {
-            List<Waiting> order = new ArrayList<>();
-            Map<JobSpec, Job> bySpec = new HashMap<>();
+            List<Waiting<Job>> order = new ArrayList<>();
             for (Job job : jobs) {
                 double runS = estimates.runS(job.spec);
-                order.add(new Waiting(job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
-                bySpec.put(job.spec, job);
+                order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
             }
-            order.sort(JobOrder.at(loop.wallTime(), deployment.withinS(), total.cores()));
             List<Job> sorted = new ArrayList<>();
-            order.forEach(w -> sorted.add(bySpec.get(w.spec())));
+            JobOrder.sorted(order, loop.wallTime(), deployment.withinS(), total.cores())
+                    .forEach(w -> sorted.add(w.job()));
             active.add(new Turn(team, sorted, new Leased(++lastLease, team, holder(team))));
         });
         List<Turn> turns = List.copyOf(active);
--- a/src/main/java/notchpick/scheduling/JobOrder.java
+++ b/src/main/java/notchpick/scheduling/JobOrder.java
@@ -1,6 +1,9 @@
 package notchpick.scheduling;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 
 /** The order in which the jobs of one team are served: priority, then time left, then age. */
@@ -10,26 +13,43 @@
     /**
      * One waiting job.
      *
+     * @param job what the caller knows it by
      * @param remainingS core-seconds that its unfinished tasks are expected to need
      * @param runS what one of its tasks is expected to run
      */
-    public record Waiting(JobSpec spec, double remainingS, double runS) {}
+    public record Waiting<J>(J job, JobSpec spec, double remainingS, double runS) {}
+
+    /** A job with what its place depends on, reckoned once rather than at each comparison. */
+    private record Placed<J>(Waiting<J> waiting, int priority, boolean late, double due) {}
 
     /**
+     * The jobs in their order.
+     *
      * @param withinS by class, the time in which the users want a job finished or started
      * @param cores what there is to work on
      */
-    public static Comparator<Waiting> at(long wallTime, Map<String, Double> withinS, double cores) {
-        return Comparator.<Waiting>comparingInt(w -> w.spec().priority().ordinal())
-                // What can't be on time any more must not make others late too.
-                .thenComparing(w -> slackS(w, wallTime, withinS) < 0)
-                // A small rest goes before a large one that is due at the same time.
-                .thenComparingDouble(w -> slackS(w, wallTime, withinS) + w.remainingS() / Math.max(cores, 1) * 2)
-                .thenComparingLong(w -> w.spec().submittedAt())
-                .thenComparing(w -> w.spec().id());
+    public static <J> List<Waiting<J>> sorted(Collection<Waiting<J>> jobs, long wallTime, Map<String, Double> withinS,
+            double cores) {
+        List<Placed<J>> placed = new ArrayList<>(jobs.size());
+        for (Waiting<J> waiting : jobs) {
+            double slackS = slackS(waiting, wallTime, withinS);
+            placed.add(new Placed<>(waiting, waiting.spec().priority().ordinal(),
+                    // What can't be on time any more must not make others late too.
+                    slackS < 0,
+                    // A small rest goes before a large one that is due at the same time.
+                    slackS + waiting.remainingS() / Math.max(cores, 1) * 2));
+        }
+        placed.sort(Comparator.<Placed<J>>comparingInt(Placed::priority)
+                .thenComparing(Placed::late)
+                .thenComparingDouble(Placed::due)
+                .thenComparingLong(p -> p.waiting().spec().submittedAt())
+                .thenComparing(p -> p.waiting().spec().id()));
+        List<Waiting<J>> sorted = new ArrayList<>(placed.size());
+        placed.forEach(p -> sorted.add(p.waiting()));
+        return sorted;
     }
 
-    private static double slackS(Waiting waiting, long wallTime, Map<String, Double> withinS) {
+    private static double slackS(Waiting<?> waiting, long wallTime, Map<String, Double> withinS) {
         JobSpec spec = waiting.spec();
         double dueS = spec.deadlineS() != null
                 ? spec.deadlineS()
