--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import notchpick.bookkeeping.Binding;
 import notchpick.bookkeeping.Job;
@@ -126,11 +127,11 @@
 
     /** Jobs of the same shape find the same machine, unless their tasks have failed on some. */
     private record Shape(Amounts demand, List<String> types, String zone, boolean spot, boolean ordinary,
-            String image) {
+            boolean urgent, String image) {
         static Shape of(Job job) {
             JobSpec spec = job.spec;
             return constrained(spec) || job.hasFailed ? null : new Shape(spec.demand(), spec.types(), spec.zone(),
-                    spec.spot(), job.mayUseOrdinary(), spec.image());
+                    spec.spot(), job.mayUseOrdinary(), isUrgent(spec), spec.image());
         }
     }
 
@@ -239,7 +240,7 @@
                     owed++;
                 }
                 held = held.plus(job.spec.demand().times(owed));
-                boolean urgent = job.spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
+                boolean urgent = isUrgent(job.spec);
                 // Much room falls free by itself within a report period.
                 boolean waited = now - job.skippedSince >= deployment.reportS() * 1000;
                 if (waited && (owed > 0 || urgent)) {
@@ -341,19 +342,30 @@
      * long as two fetches of its own image would take. Room never stays empty for that.
      */
     private boolean mayDefer(Job job, Machine machine, long now) {
-        boolean urgent = job.spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
         double fetchMs = 1000 * job.spec.imageGb() / Math.max(fetchGbPerS.applyAsDouble(machine.type()), 0.01);
-        return !urgent && (job.deferredSince == 0 || now - job.deferredSince < 2 * fetchMs);
+        return !isUrgent(job.spec) && (job.deferredSince == 0 || now - job.deferredSince < 2 * fetchMs);
     }
 
     private Machine choose(Job job, Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         // Not for ever: where machines are few, the only one that fits may have failed it once.
         long shunMs = (long) (deployment.reportS() * 1000 * SHUN_REPORTS);
         Map<String, Integer> zones = constrained(job.spec) ? zonesOf(job, turn.leased) : Map.of();
-        return open.choose(job.spec, m -> zoneAllows(job.spec, zones, m.zone())
+        Predicate<Machine> admits = m -> zoneAllows(job.spec, zones, m.zone())
                 && (m.spot() || job.mayUseOrdinary())
                 && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
-                && (barred.get(m) == null || barred.get(m) == turn));
+                && (barred.get(m) == null || barred.get(m) == turn);
+        return isUrgent(job.spec) ? open.chooseSoonest(job.spec, admits, m -> answerInMs(m, now))
+                : open.choose(job.spec, admits);
+    }
+
+    /** Orders ride in the answers to reports: when the next can be given on this machine. */
+    private long answerInMs(Machine machine, long now) {
+        return machine.awaitsAnswer ? 0
+                : Math.max(1, machine.reportedAt + (long) (deployment.reportS() * 1000) - now);
+    }
+
+    private static boolean isUrgent(JobSpec spec) {
+        return spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
     }
 
     private void grant(Turn turn, Job job, Machine machine, SiteIndex<Machine> open) {
--- a/src/main/java/notchpick/coordination/Reports.java
+++ b/src/main/java/notchpick/coordination/Reports.java
@@ -112,6 +112,7 @@
         boolean changed = reconcile(machine, report, now);
         Held open = new Held(reply, report.tasks(), rounds.getAsLong());
         held.put(machine, open);
+        machine.awaitsAnswer = true;
         if (changed) {
             news.run();
             timer.accept((long) (deployment.reportS() * 1000 * HOLD_RATIO), () -> {
@@ -277,6 +278,7 @@
     /** Its report won't be answered any more. */
     void refuse(Machine machine) {
         Held open = held.remove(machine);
+        machine.awaitsAnswer = false;
         if (open != null) {
             open.reply().accept(refusal());
         }
@@ -323,6 +325,7 @@
 
     void answer(Machine machine) {
         Held open = held.remove(machine);
+        machine.awaitsAnswer = false;
         if (open == null) {
             return;
         }
--- a/src/main/java/notchpick/scheduling/SiteIndex.java
+++ b/src/main/java/notchpick/scheduling/SiteIndex.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
  * Sites sorted by the room that is left, so that {@link Packing}'s choice looks only at those that may
@@ -102,30 +103,48 @@
 
     /** The best of the sites for one task, or null if none will do. */
     public S choose(JobSpec spec, Predicate<S> admits) {
-        S best = spec.spot() ? choose(cheap, spec, admits) : null;
-        return best != null ? best : choose(ordinary, spec, admits);
+        return choose(spec, admits, null);
     }
 
-    private S choose(Kind<S> kind, JobSpec spec, Predicate<S> admits) {
+    /** The same for a task that can't wait: it goes where it can be soonest rather than to the fullest. */
+    public S chooseSoonest(JobSpec spec, Predicate<S> admits, ToLongFunction<S> delay) {
+        return choose(spec, admits, delay);
+    }
+
+    private S choose(JobSpec spec, Predicate<S> admits, ToLongFunction<S> delay) {
+        S best = spec.spot() ? choose(cheap, spec, admits, delay) : null;
+        return best != null ? best : choose(ordinary, spec, admits, delay);
+    }
+
+    private S choose(Kind<S> kind, JobSpec spec, Predicate<S> admits, ToLongFunction<S> delay) {
         if (kind.all.isEmpty()) {
             return null;
         }
-        S best = first(kind.having(spec.image()), spec, admits, true);
-        return best != null ? best : first(kind.all, spec, admits, false);
+        S best = choose(kind.having(spec.image()), spec, admits, true, delay);
+        return best != null ? best : choose(kind.all, spec, admits, false, delay);
     }
 
-    private S first(TreeSet<Entry<S>> sites, JobSpec spec, Predicate<S> admits, boolean having) {
+    private S choose(TreeSet<Entry<S>> sites, JobSpec spec, Predicate<S> admits, boolean having,
+            ToLongFunction<S> delay) {
         Entry<S> least = new Entry<>(spec.demand().cores() - Amounts.SLACK, -1, null);
+        S best = null;
+        long bestDelay = Long.MAX_VALUE;
         for (Entry<S> entry : sites.tailSet(least)) {
             S site = entry.site();
             looks++;
-            if ((having || !site.images().contains(spec.image()))
+            long siteDelay = delay == null ? 0 : delay.applyAsLong(site);
+            if (siteDelay < bestDelay
+                    && (having || !site.images().contains(spec.image()))
                     && spec.demand().fitsIn(site.room())
                     && spec.allows(site.type(), site.zone(), site.spot())
                     && admits.test(site)) {
-                return site;
+                best = site;
+                bestDelay = siteDelay;
+                if (siteDelay <= 0) {
+                    break;
+                }
             }
         }
-        return null;
+        return best;
     }
 }
--- a/src/test/java/notchpick/scheduling/SiteIndexTest.java
+++ b/src/test/java/notchpick/scheduling/SiteIndexTest.java
@@ -99,6 +99,21 @@
         }
     }
 
+    @Test
+    void whatCannotWaitGoesWhereItIsSoonest() {
+        Site full = new Site("small", "east", true, new Amounts(2, 0, 64));
+        Site empty = new Site("small", "east", true, new Amounts(8, 0, 64));
+        SiteIndex<Site> index = new SiteIndex<>(List.of(full, empty));
+        JobSpec spec = new JobSpec("run-1", "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.HIGH, 1,
+                new Amounts(1, 0, 1), null, null, false, false, true, "i", 1, 10, 0, 0, null, 0);
+        assertSame(full, index.choose(spec, any -> true));
+        assertSame(empty, index.chooseSoonest(spec, any -> true, site -> site == full ? 900 : 100));
+        full.images.add("i");
+        // An image that is there saves more than a report period.
+        SiteIndex<Site> anew = new SiteIndex<>(List.of(full, empty));
+        assertSame(full, anew.chooseSoonest(spec, any -> true, site -> site == full ? 900 : 100));
+    }
+
     @Test
     void aRemovedSiteMayChangeAndStaysAway() {
         Random random = new Random(1);
