--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -72,12 +72,13 @@
 
     /**
      * How long a leader whose claim has lapsed may go on answering reports, without any order, so
-     * that work survives an outage of the state service. A job's cancellation may come right after
-     * the claim lapsed, elsewhere: even then the last answer, the worker's lease after it and two
-     * reports must fit into the time that a cancellation has.
+     * that work survives an outage of the state service. A job's cancellation may have been taken elsewhere right
+     * after this controller was cut off, while its claim stood: even then claim, grace and the worker's lease,
+     * which runs from when its last answered report was sent, must fit into the time that a
+     * cancellation has, with a report period to spare.
      */
     public long graceMs(double leaderLeaseS) {
-        double graceS = Math.min(workerLeaseS / 2, cancelS - workerLeaseS - leaderLeaseS - 2 * reportS);
+        double graceS = Math.min(workerLeaseS / 2, cancelS - workerLeaseS - leaderLeaseS - reportS);
         return (long) (1000 * Math.max(0, graceS));
     }
 }
