--- a/src/test/java/notchpick/app/SettingsTest.java
+++ b/src/test/java/notchpick/app/SettingsTest.java
@@ -44,8 +44,9 @@
     @Test
     void theGraceOfALapsedLeaderFitsIntoACancellationsTime() throws Exception {
         Deployment deployment = Settings.read(file("s.json", GOOD));
-        // 42 s less the worker's lease of 22, the leader's of 5.5 and two reports.
-        assertEquals(8500, deployment.graceMs(5.5));
+        // 42 s less the worker's lease of 22, the leader's of 8 and a report; at most half the worker's lease.
+        assertEquals(9000, deployment.graceMs(8));
+        assertEquals(11000, deployment.graceMs(3.3));
     }
 
     @ParameterizedTest
