--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -49,6 +49,7 @@
     private final Ledger ledger;
     private final String requestPrefix;
     private final Consumer<Machine> gone;
+    private final Runnable refused;
     private final BiConsumer<Long, Runnable> timer;
 
     private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -60,9 +61,12 @@
     private boolean releasing;
     private boolean listed;
 
-    /** @param gone hears of machines of which it is sure that nothing is on them any more */
+    /**
+     * @param gone hears of machines of which it is sure that nothing is on them any more
+     * @param refused hears when the cloud has given less than was asked
+     */
     Fleet(EventLoop loop, Deployment deployment, Roster roster, Estimates estimates, CloudApi cloud, Ledger ledger,
-            long term, Consumer<Machine> gone, BiConsumer<Long, Runnable> timer) {
+            long term, Consumer<Machine> gone, Runnable refused, BiConsumer<Long, Runnable> timer) {
         this.loop = loop;
         this.deployment = deployment;
         this.roster = roster;
@@ -72,6 +76,7 @@
         // The term belongs to one controller and one of its lives, so the names are never used again.
         this.requestPrefix = deployment.node() + "-" + term + "-";
         this.gone = gone;
+        this.refused = refused;
         this.timer = timer;
     }
 
@@ -234,6 +239,8 @@
             if (result.refused() || result.machines().size() < number) {
                 refusedUntil.put(pool, now + (long) (bootMs(pool.type()) * 0.7));
                 asked.remove(pool);
+                // What it does not give is to be had elsewhere, and boots no sooner for waiting.
+                refused.run();
             } else if (count > number) {
                 // All pools together stay within what the cloud takes.
                 timer.accept((long) (1000 * asked.size() / deployment.cloudRps()), () -> rent(pool, count - number));
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -82,7 +82,8 @@
         this.graceMs = deployment.graceMs(leaderLeaseMs / 1000.0);
         this.ledger = new Ledger(state, loop, this::after, version, deployment.txnOps(),
                 0.7 * deployment.stateWriteRps(), () -> giveWay.accept("its key is not there any more"));
-        this.fleet = new Fleet(loop, deployment, roster, estimates, cloud, ledger, term, this::gone, this::after);
+        this.fleet = new Fleet(loop, deployment, roster, estimates, cloud, ledger, term, this::gone, this::reviewFleet,
+                this::after);
         this.granting = new Granting(loop, deployment, tuning, roster, estimates, peers, term,
                 fleet::fetchGbPerS, this::placed, this::roundSoon, this::after);
         this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, this::after, this::roundSoon,
@@ -213,12 +214,18 @@
         if (holdsClaim()) {
             starts.tidy();
             jobs.tidy();
-            fleet.review();
+            reviewFleet();
             consolidate(now);
             roundSoon();
         }
     }
 
+    private void reviewFleet() {
+        if (holdsClaim()) {
+            fleet.review();
+        }
+    }
+
     /** When nothing waits, half-empty machines whose tasks can save their progress are emptied. */
     private void consolidate(long now) {
         if (granting.outstanding() > 0 || roster.jobs.values().stream().anyMatch(Job::waits)) {
