--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -232,20 +232,23 @@
             return;
         }
         List<Candidate<Machine>> candidates = new ArrayList<>();
+        List<JobSpec> moving = new ArrayList<>();
+        int leaving = 0;
+        double free = 0;
         for (Machine machine : roster.machines.values()) {
             if (machine.life == Life.LEAVING && !machine.bindings.isEmpty()) {
-                // One at a time.
-                return;
-            }
-            if (granting.usable(machine, now)) {
+                leaving++;
+                machine.bindings.values().forEach(binding -> moving.add(binding.spec));
+            } else if (granting.usable(machine, now)) {
+                free += machine.room().cores();
                 candidates.add(new Candidate<>(machine, movable(machine, now)));
             }
         }
-        Machine leaving = Consolidation.find(candidates);
-        if (leaving != null) {
-            log.info("machine {} is emptied", leaving.name);
-            leaving.life = Life.LEAVING;
-            leaving.bindings.values().forEach(binding -> binding.stopGraceS = Math.ceil(binding.spec.saveS()));
+        int most = Consolidation.most(candidates.size(), 1 - free / Math.max(1, roster.total().cores()));
+        for (Machine machine : Consolidation.find(candidates, moving, most - leaving)) {
+            log.info("machine {} is emptied", machine.name);
+            machine.life = Life.LEAVING;
+            machine.bindings.values().forEach(binding -> binding.stopGraceS = Math.ceil(binding.spec.saveS()));
         }
     }
 
