--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -97,6 +97,11 @@
         String first = words.length > 3 ? words[3] : "";
         switch (verb) {
             case "submit" -> submit(world, first, options(words, 4));
+            case "burst" -> {
+                for (int i = 0; i < Integer.parseInt(words[4]); i++) {
+                    submit(world, first + (100 + i), options(words, 5));
+                }
+            }
             case "resubmit" -> world.resubmit(first);
             case "cancel" -> world.cancel(first);
             case "ask" -> world.poll(first);
@@ -210,6 +215,9 @@
                     where + ": " + world.rules().starts());
             case "writes" -> assertTrue(world.state().writes() <= Integer.parseInt(words[5]), () ->
                     where + ": " + world.state().writes());
+            case "turned-away" -> assertTrue(world.turnedAway() >= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.turnedAway());
+            case "untold" -> assertEquals(Integer.parseInt(words[4]), world.untold(), where);
             case "over-rate" -> assertTrue(world.state().overRate() <= Integer.parseInt(words[5]), () ->
                     where + ": " + world.state().overRate());
             case "term" -> assertEquals(Integer.parseInt(words[4]), world.term(), where);
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -52,6 +52,8 @@
     private final CloudStandIn cloud;
     private final List<String> nodes = new ArrayList<>();
     private int turn;
+    private int turnedAway;
+    private int untold;
 
     public World(int count, List<Limit> teams, List<MachineType> machineTypes, double writesPerS) {
         this.teams = teams;
@@ -113,6 +115,16 @@
         return status.getOrDefault(job, "nothing");
     }
 
+    /** Submissions that were turned away for a while. */
+    public int turnedAway() {
+        return turnedAway;
+    }
+
+    /** Those of them that were not told when to come back. */
+    public int untold() {
+        return untold;
+    }
+
     public int lastStatus(String job) {
         return lastStatus.getOrDefault(job, 0);
     }
@@ -210,6 +222,8 @@
             if (answer.status() / 100 == 2) {
                 simulation.after(5000, () -> poll(job));
             } else if (answer.status() != 400 && answer.status() != 422 && simulation.now() < until) {
+                turnedAway++;
+                untold += answer.status() == 503 && answer.retryAfterS() <= 0 ? 1 : 0;
                 simulation.after(1000, () -> submit(job, body, until));
             }
         });
