--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -44,9 +44,19 @@
         }
     }
 
+    /** The end of a job takes two changes that belong together. */
+    private static final int END_WRITES = 2;
     /** Steady clocks differ by at most a twentieth of a percent each; this counts for both, amply. */
     private static final double DRIFT = 0.002;
 
+    /**
+     * So many changes the leader makes in one transaction at the most. The state service takes no burst
+     * of more than a second's worth: a transaction larger than that would be turned away for ever.
+     */
+    public int writesAtOnce() {
+        return Math.min(txnOps, Math.max(END_WRITES, (int) (stateWriteRps / 5)));
+    }
+
     public int controllers() {
         return peers.size() + 1;
     }
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -80,7 +80,7 @@
         this.lastReportAt = loop.now();
         this.bypassedSince = loop.now();
         this.graceMs = deployment.graceMs(leaderLeaseMs / 1000.0);
-        this.ledger = new Ledger(state, loop, this::after, version, deployment.txnOps(),
+        this.ledger = new Ledger(state, loop, this::after, version, deployment.writesAtOnce(),
                 0.7 * deployment.stateWriteRps(), () -> giveWay.accept("its key is not there any more"));
         this.fleet = new Fleet(loop, deployment, roster, estimates, cloud, ledger, term, this::gone, this::reviewFleet,
                 this::after);
--- a/src/main/java/notchpick/coordination/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/OpenJobs.java
@@ -73,7 +73,7 @@
             public JsonNode value(Collection<DoneMarks> all) {
                 return Records.done(all);
             }
-        }, SharedValues.Fill.FULLEST, deployment.valueBytes(), deployment.txnOps(), this::durable);
+        }, SharedValues.Fill.FULLEST, deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
     }
 
     private <T> Consumer<T> inTurn(Consumer<T> then) {
--- a/src/main/java/notchpick/coordination/Starts.java
+++ b/src/main/java/notchpick/coordination/Starts.java
@@ -48,7 +48,7 @@
             public JsonNode value(Collection<Binding> bindings) {
                 return Records.starts(bindings);
             }
-        }, SharedValues.Fill.EMPTIEST, deployment.valueBytes(), deployment.txnOps(), this::durable);
+        }, SharedValues.Fill.EMPTIEST, deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
     }
 
     /** What a former leader may have sent: it blocks those tasks, and counts, until workers tell. */
