--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import notchpick.bookkeeping.Ledger.Prepared;
 import notchpick.bookkeeping.Ledger.Write;
 
@@ -21,13 +23,12 @@
  * than there is, never less.
  */
 public final class SharedValues<U> {
-    /** How units are put into a value. */
-    public interface Form<U> {
-        /** As many bytes as the unit takes at the most, alone in a value. */
-        int bytes(U unit);
-
-        JsonNode value(Collection<U> units);
-    }
+    /**
+     * How units are put into a value.
+     *
+     * @param bytes as many as the unit takes at the most, alone in a value
+     */
+    public record Form<U>(ToIntFunction<U> bytes, Function<Collection<U>, JsonNode> value) {}
 
     /** Where a new unit goes. */
     public enum Fill {
@@ -91,7 +92,7 @@
         Slot<U> slot = slots.computeIfAbsent(Integer.parseInt(key.substring(prefix.length())), n -> new Slot<>(key));
         units.forEach(unit -> {
             slot.units.add(unit);
-            slot.bytes += form.bytes(unit);
+            slot.bytes += form.bytes().applyAsInt(unit);
             slotOf.put(unit, slot);
         });
     }
@@ -107,7 +108,7 @@
     public void drop(U unit) {
         Slot<U> slot = slotOf.remove(unit);
         if (slot != null) {
-            int bytes = form.bytes(unit);
+            int bytes = form.bytes().applyAsInt(unit);
             slot.units.remove(unit);
             slot.bytes -= bytes;
             slot.staleBytes += bytes;
@@ -129,7 +130,7 @@
     }
 
     private Slot<U> place(U unit) {
-        int bytes = form.bytes(unit);
+        int bytes = form.bytes().applyAsInt(unit);
         Slot<U> best = null;
         for (Slot<U> slot : slots.values()) {
             if (slot.bytes + bytes <= limit && (best == null || isBetter(slot, best))) {
@@ -170,7 +171,7 @@
                 break;
             }
             bytes += slot.bytes;
-            writes.add(Write.put(slot.key, form.value(slot.units)).bytes(slot.bytes + FRAME_BYTES));
+            writes.add(Write.put(slot.key, form.value().apply(slot.units)).bytes(slot.bytes + FRAME_BYTES));
             units.addAll(slot.units);
             written.put(slot, slot.changes);
             slot.staleBytes = 0;
--- a/src/main/java/notchpick/coordination/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/OpenJobs.java
@@ -1,7 +1,6 @@
 package notchpick.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -63,17 +62,9 @@
         this.changed = changed;
         this.saved = saved;
         this.watchedAt = loop.now();
-        this.marks = new SharedValues<>(ledger, Records.DONE_TASKS, new SharedValues.Form<>() {
-            @Override
-            public int bytes(DoneMarks run) {
-                return Records.doneBytes(run);
-            }
-
-            @Override
-            public JsonNode value(Collection<DoneMarks> all) {
-                return Records.done(all);
-            }
-        }, SharedValues.Fill.FULLEST, deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
+        this.marks = new SharedValues<>(ledger, Records.DONE_TASKS,
+                new SharedValues.Form<>(Records::doneBytes, Records::done), SharedValues.Fill.FULLEST,
+                deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
     }
 
     private <T> Consumer<T> inTurn(Consumer<T> then) {
--- a/src/main/java/notchpick/coordination/Starts.java
+++ b/src/main/java/notchpick/coordination/Starts.java
@@ -1,7 +1,5 @@
 package notchpick.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -38,17 +36,9 @@
         this.ledger = ledger;
         this.fleet = fleet;
         this.ready = ready;
-        this.values = new SharedValues<>(ledger, Records.STARTS, new SharedValues.Form<>() {
-            @Override
-            public int bytes(Binding binding) {
-                return Records.startBytes(binding);
-            }
-
-            @Override
-            public JsonNode value(Collection<Binding> bindings) {
-                return Records.starts(bindings);
-            }
-        }, SharedValues.Fill.EMPTIEST, deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
+        this.values = new SharedValues<>(ledger, Records.STARTS,
+                new SharedValues.Form<>(Records::startBytes, Records::starts), SharedValues.Fill.EMPTIEST,
+                deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
     }
 
     /** What a former leader may have sent: it blocks those tasks, and counts, until workers tell. */
--- a/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
+++ b/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
@@ -6,7 +6,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -39,17 +38,8 @@
     private final Ledger ledger = new Ledger(api, loop, loop::after, 0, MAX_WRITES, 42, () -> { });
     private final Set<Binding> durable = new HashSet<>();
     private final SharedValues<Binding> starts = new SharedValues<>(ledger, Records.STARTS,
-            new SharedValues.Form<>() {
-                @Override
-                public int bytes(Binding binding) {
-                    return Records.startBytes(binding);
-                }
-
-                @Override
-                public JsonNode value(Collection<Binding> bindings) {
-                    return Records.starts(bindings);
-                }
-            }, SharedValues.Fill.EMPTIEST, VALUE_BYTES, MAX_WRITES, durable::addAll);
+            new SharedValues.Form<>(Records::startBytes, Records::starts), SharedValues.Fill.EMPTIEST,
+            VALUE_BYTES, MAX_WRITES, durable::addAll);
 
     private void call(Call call, long timeoutMs, Consumer<Answer> then) {
         AtomicBoolean answered = new AtomicBoolean();
