--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -124,8 +124,8 @@
     }
 
     /**
-     * The pool that gives the job its cores most cheaply, a machine's unused rest included; among equals the one of which least is held, so that
-     * one wave of taken machines doesn't take all.
+     * The pool that gives the job its cores most cheaply, a machine's unused rest included; among equals
+     * the one of which least is held, so that one wave of taken machines doesn't take all.
      */
     private static Pool choosePool(Need need, int wanted, Map<String, MachineType> types, Map<Pool, Integer> held,
             Predicate<Pool> refused) {
--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/GrantingTest.java
@@ -38,7 +38,8 @@
 
     private final Deployment deployment = new Deployment("n-0", "a:1", "a:2", List.of(new Peer("n-1", "b:2")), "c:1",
             "s:1", List.of("east"), List.of(new Limit("a", Amounts.NONE, Amounts.NONE),
-            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Map.of(), 3, 20, 40, 100, 100, 16 << 10, 12, 5, 3, 100);
+            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Map.of(), 3, 20, 40, 100, 100,
+            16 << 10, 12, 5, 3, 100);
     private final Peers peers = new Peers(loop, deployment, (call, timeoutMs, then) -> {
         if (PeerWire.body(call.body()) instanceof Grant grant) {
             granted = grant;
