--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -7,10 +7,10 @@
 import java.util.Set;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
-import notchpick.scheduling.Packing;
+import notchpick.scheduling.Place;
 
 /** A machine as the leader knows it. */
-public final class Machine implements Packing.Site {
+public final class Machine implements Place {
     /** What may become of a machine. */
     public enum Life {
         /** Rented, its worker has not reported yet. */
--- a/src/main/java/notchpick/coordination/Placer.java
+++ b/src/main/java/notchpick/coordination/Placer.java
@@ -12,14 +12,14 @@
 import notchpick.protocol.peer.Want;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.JobSpec;
-import notchpick.scheduling.Packing;
+import notchpick.scheduling.Place;
 import notchpick.scheduling.SiteIndex;
 
 /** Places the tasks of a team within the room leased to the controller that holds the team's jobs. */
 public final class Placer {
     private Placer() {}
 
-    private static final class LeasedRoom implements Packing.Site {
+    private static final class LeasedRoom implements Place {
         private final Room room;
         private final Set<String> images;
         private Amounts left;
--- a/src/main/java/notchpick/scheduling/Consolidation.java
+++ b/src/main/java/notchpick/scheduling/Consolidation.java
@@ -15,7 +15,7 @@
     private Consolidation() {}
 
     /** A machine in use. Its tasks are null if they can't be moved now. */
-    public record Candidate<S extends Packing.Site>(S site, List<JobSpec> tasks) {}
+    public record Candidate<S extends Place>(S site, List<JobSpec> tasks) {}
 
     /** Below this part of the cores in use, several machines are emptied at a time. */
     private static final double SPARSE = 0.7;
@@ -38,7 +38,7 @@
      * @param moving tasks that are being moved already, and need room first
      * @param most so many at the most
      */
-    public static <S extends Packing.Site> List<S> find(Collection<Candidate<S>> machines,
+    public static <S extends Place> List<S> find(Collection<Candidate<S>> machines,
             Collection<JobSpec> moving, int most) {
         List<Candidate<S>> movable = new ArrayList<>();
         for (Candidate<S> machine : machines) {
@@ -69,7 +69,7 @@
     }
 
     /** Machines in use with room for others' tasks, the fullest first. */
-    private static final class Targets<S extends Packing.Site> {
+    private static final class Targets<S extends Place> {
         private final Set<S> open = new LinkedHashSet<>();
         private final Set<S> taken = new HashSet<>();
         private final Map<S, Amounts> room = new HashMap<>();
--- a/src/main/java/notchpick/scheduling/SiteIndex.java
+++ b/src/main/java/notchpick/scheduling/SiteIndex.java
@@ -10,17 +10,18 @@
 import java.util.function.ToLongFunction;
 
 /**
- * Sites sorted by the room that is left, so that {@link Packing}'s choice looks only at those that may
- * be the best: it chooses what {@link Packing#choose} would choose among the same sites in the same order.
+ * Chooses among machines, or leased room on them: a cheap one, then one that has the image, then the one
+ * that the task leaves fullest, so that others fall idle and can be returned. They are kept sorted by the
+ * room that is left, so that a choice looks only at those that may be the best.
  */
-public final class SiteIndex<S extends Packing.Site> {
+public final class SiteIndex<S extends Place> {
     private static final Comparator<Entry<?>> ORDER =
             Comparator.<Entry<?>>comparingDouble(Entry::cores).thenComparingInt(Entry::number);
 
     private record Entry<S>(double cores, int number, S site) {}
 
     /** Sites of one kind: all of them, and by image those that have it, once it has been asked for. */
-    private static final class Kind<S extends Packing.Site> {
+    private static final class Kind<S extends Place> {
         private final TreeSet<Entry<S>> all = new TreeSet<>(ORDER);
         private final Map<String, TreeSet<Entry<S>>> byImage = new HashMap<>();
 
--- a/src/test/java/notchpick/scheduling/ConsolidationTest.java
+++ b/src/test/java/notchpick/scheduling/ConsolidationTest.java
@@ -12,7 +12,7 @@
 
 /** Half-empty machines are emptied into others, more at a time the more there are. */
 class ConsolidationTest {
-    private record Site(String name, Amounts room) implements Packing.Site {
+    private record Site(String name, Amounts room) implements Place {
         @Override
         public String type() {
             return "m8";
--- a/src/test/java/notchpick/scheduling/SiteIndexTest.java
+++ b/src/test/java/notchpick/scheduling/SiteIndexTest.java
@@ -13,7 +13,7 @@
 
 /** The index chooses what the plain form does, and looks at few sites for it. */
 class SiteIndexTest {
-    private static final class Site implements Packing.Site {
+    private static final class Site implements Place {
         private final String type;
         private final String zone;
         private final boolean spot;
@@ -53,6 +53,21 @@
         }
     }
 
+    /** What the index must choose, without an index. */
+    private static Site plainly(List<Site> sites, JobSpec spec, Predicate<Site> admits) {
+        Site best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (Site site : sites) {
+            double score = site.room.cores() + (site.images.contains(spec.image()) ? 0 : 1e6) + (site.spot ? 0 : 2e6);
+            if (score < bestScore && spec.demand().fitsIn(site.room)
+                    && spec.allows(site.type, site.zone, site.spot) && admits.test(site)) {
+                best = site;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
     private static JobSpec spec(Random random) {
         return new JobSpec("run-1", "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 1,
                 new Amounts(0.5 * (1 + random.nextInt(8)), 0, 1 + random.nextInt(6)),
@@ -81,7 +96,7 @@
                 Site shunned = sites.get(random.nextInt(sites.size()));
                 Predicate<Site> admits = site -> site != shunned;
                 Site chosen = index.choose(spec, admits);
-                assertSame(Packing.choose(sites, spec, admits), chosen, "seed " + seed + " task " + task);
+                assertSame(plainly(sites, spec, admits), chosen, "seed " + seed + " task " + task);
                 if (chosen != null && random.nextInt(4) > 0) {
                     index.change(chosen, () -> {
                         chosen.room = chosen.room.minus(spec.demand());
