--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -120,6 +120,7 @@
             case "heal" -> ends(world, first, words[4]).forEach(pair -> world.network().heal(pair[0], pair[1]));
             case "outage" -> world.state().outage(first.equals("on"));
             case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
+            case "pages" -> world.state().pages(Integer.parseInt(first));
             case "lose-commits" -> world.state().loseCommits(Integer.parseInt(first),
                     (long) (Double.parseDouble(words[4]) * 1000));
             case "cloud" -> world.cloud().down(first.equals("down"));
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -43,6 +43,7 @@
     private long writeBudgetAt;
     private long writes;
     private int overRate;
+    private int pageItems = 1000;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Long> leaseEnds = new HashMap<>();
     private final Map<Long, Long> leaseLives = new HashMap<>();
@@ -94,6 +95,11 @@
         outage = on;
     }
 
+    /** Cuts pages short after so many items. */
+    public void pages(int items) {
+        pageItems = items;
+    }
+
     /** Answers 503 to this host alone. */
     public void refuse(String host, boolean on) {
         if (on) {
@@ -212,7 +218,7 @@
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("items");
         String prefix = query.getOrDefault("prefix", "");
-        int limit = Math.min(1000, Integer.parseInt(query.getOrDefault("limit", "1000")));
+        int limit = Math.min(pageItems, Integer.parseInt(query.getOrDefault("limit", "1000")));
         String after = query.getOrDefault("since", "");
         boolean more = false;
         for (Map.Entry<String, Item> entry : items.tailMap(prefix).entrySet()) {
