--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/GrantingTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import notchpick.bookkeeping.Binding;
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Machine;
@@ -113,6 +115,45 @@
         assertEquals(List.of(), bound);
     }
 
+    /** Not with tasks x jobs x machines: here that would be 400 million looks at a machine. */
+    @Test
+    void aRoundsWorkGrowsWithWhatItGrants() {
+        AtomicInteger looks = new AtomicInteger();
+        List<String> anyType = new AbstractList<>() {
+            @Override
+            public String get(int index) {
+                return "m8";
+            }
+
+            @Override
+            public int size() {
+                return 1;
+            }
+
+            @Override
+            public boolean contains(Object type) {
+                looks.incrementAndGet();
+                return true;
+            }
+        };
+        for (int i = 0; i < 1000; i++) {
+            Machine machine = new Machine("m-" + i, new Pool("m8", "east", true), new Amounts(8, 0, 64), loop.now());
+            machine.life = Machine.Life.UP;
+            machine.settled = true;
+            roster.machines.put(machine.name, machine);
+        }
+        int tasks = 0;
+        for (int i = 0; i < 200; i++) {
+            String id = "run-" + i;
+            roster.jobs.put(id, new Job(new JobSpec(id, "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 10,
+                    new Amounts(1, 0, 1), anyType, null, false, false, true, "i" + i % 10, 1, 10, 0, 0, null, 0), 1));
+            tasks += 10;
+        }
+        granting.round();
+        assertEquals(tasks, bound.size());
+        assertTrue(looks.get() <= 12 * tasks, looks + " looks at machines for " + tasks + " tasks");
+    }
+
     @Test
     void envelopesSurviveTheWire() {
         leaseToPeer(2);
