--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -70,7 +70,7 @@
         Caller inTurn = (call, timeoutMs, then) -> caller.call(call, timeoutMs, here(then));
         this.leaderLeaseMs = (long) (deployment.workerLeaseS() * 1000 * tuning.leaderLeaseRatio());
         this.state = new StateApi(inTurn, loop, deployment.stateAddress(), STATE_TIMEOUT_MS,
-                deployment.stateRps() / deployment.controllers());
+                deployment.requestsPerS());
         this.cloud = new CloudApi(inTurn, deployment.cloudAddress(), CLOUD_TIMEOUT_MS);
         this.elector = new Elector(loop, deployment.node(), state, random, leaderLeaseMs, this);
         this.peers = new Peers(loop, deployment, inTurn, this::pulse, this::heard);
--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -61,6 +61,11 @@
         return peers.size() + 1;
     }
 
+    /** This controller's part of the requests that the state service takes. */
+    public double requestsPerS() {
+        return stateRps / controllers();
+    }
+
     public Limit limit(String team) {
         for (Limit limit : teams) {
             if (limit.team().equals(team)) {
--- a/src/main/java/notchpick/coordination/FrontDoor.java
+++ b/src/main/java/notchpick/coordination/FrontDoor.java
@@ -28,8 +28,8 @@
 import notchpick.transport.EventLoop;
 
 /**
- * Answers users, at every controller alike: what has been accepted, cancelled or done is read from
- * and written to the state service directly, never taken from a copy that may lag.
+ * Answers users, at every controller alike: what has been accepted, cancelled or done is written to the
+ * state service, and read from it after the question came, never taken from a copy that may lag.
  */
 public final class FrontDoor extends Actor<FrontDoor.Message> {
     /** What this actor is told. */
@@ -45,6 +45,7 @@
     private final Deployment deployment;
     private final StateApi state;
     private final Function<String, Progress> progress;
+    private final OpenCopy open;
     private List<MachineType> types;
     /** Jobs that are over; they stay as they are, so a copy can't be too old. */
     private final Map<String, JobRecord> over = new LinkedHashMap<>() {
@@ -61,6 +62,7 @@
         this.deployment = deployment;
         this.state = state;
         this.progress = progress;
+        this.open = new OpenCopy(loop, state, deployment.requestsPerS(), this::after);
     }
 
     public boolean ready() {
@@ -225,15 +227,18 @@
     private record Known(JobRecord record, long version) {}
 
     /**
-     * Reads how a job stands; gives null if there surely is none, answers 503 if it can't be told. Its
-     * description is read first: where that is missing, the job is over, and says so, or there is none.
+     * Reads how a job stands; gives null if there surely is none, answers 503 if it can't be told. Open jobs
+     * are looked at first: what is not among them is over, and says so, or there is none.
      */
     private void read(String id, Consumer<Answer> reply, Consumer<Known> then) {
-        state.get(Records.OPEN + id, here(open -> {
-            if (open instanceof Ok<Entry> ok) {
-                int tasks = Records.spec(id, ok.value().value()).tasks();
-                then.accept(new Known(new JobRecord(Fate.OPEN, tasks, 0), ok.value().version()));
-            } else if (open instanceof Missing<Entry>) {
+        open.ask(id, told -> {
+            if (!told.known()) {
+                reply.accept(later("the state service does not answer"));
+            } else if (told.open() != null) {
+                then.accept(new Known(new JobRecord(Fate.OPEN, told.open().tasks(), 0), told.open().version()));
+            } else if (!state.hasSpare()) {
+                reply.accept(later("too many ask at once"));
+            } else {
                 state.get(Records.JOB + id, here(ended -> {
                     if (ended instanceof Ok<Entry> ok) {
                         JobRecord record = Records.job(ok.value().value());
@@ -245,10 +250,8 @@
                         reply.accept(later("the state service does not answer"));
                     }
                 }));
-            } else {
-                reply.accept(later("the state service does not answer"));
             }
-        }));
+        });
     }
 
     private Answer status(String id, JobRecord job) {
--- /dev/null
+++ b/src/main/java/notchpick/coordination/OpenCopy.java
@@ -0,0 +1,126 @@
+package notchpick.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import notchpick.bookkeeping.Records;
+import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Change;
+import notchpick.protocol.StateApi.Changes;
+import notchpick.protocol.StateApi.Entry;
+import notchpick.protocol.StateApi.Listing;
+import notchpick.protocol.StateApi.Missing;
+import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.StateApi.Result;
+import notchpick.transport.EventLoop;
+
+/**
+ * Tells which jobs are open, any number of askers by one request. It keeps a copy, and before it answers
+ * anybody it asks the state service what has changed since: that request is sent after the question came,
+ * so no answer is older than what any controller may have told by then. A storm of polls costs no
+ * more requests than a quiet hour.
+ */
+final class OpenCopy {
+    /** What is known of an open job; the version is that of its description. */
+    record Open(int tasks, long version) {}
+
+    /** What an asker is told: nothing, where the state service gave no answer. */
+    record Told(boolean known, Open open) {}
+
+    /** This part of the controller's requests is for questions; submissions and the leader's writes need the rest. */
+    private static final double PART_OF_REQUESTS = 0.25;
+
+    private final EventLoop loop;
+    private final StateApi state;
+    private final BiConsumer<Long, Runnable> timer;
+    private final long gapMs;
+    private final Map<String, Open> jobs = new HashMap<>();
+    private List<Asker> waiting = new ArrayList<>();
+    private long revision = -1;
+    private long askedAt;
+    /** A request is on its way, or will be. */
+    private boolean due;
+
+    private record Asker(String job, Consumer<Told> then) {}
+
+    /** @param requestsPerS what this controller may send in all */
+    OpenCopy(EventLoop loop, StateApi state, double requestsPerS, BiConsumer<Long, Runnable> timer) {
+        this.loop = loop;
+        this.state = state;
+        this.timer = timer;
+        this.gapMs = (long) Math.ceil(1000 / (requestsPerS * PART_OF_REQUESTS));
+        this.askedAt = loop.now() - gapMs;
+    }
+
+    /** Tells how the job stood at some moment after this call. */
+    void ask(String job, Consumer<Told> then) {
+        waiting.add(new Asker(job, then));
+        if (!due) {
+            sendLater();
+        }
+    }
+
+    private void send() {
+        askedAt = loop.now();
+        // Who asks from here on is answered by the next request.
+        List<Asker> asking = waiting;
+        waiting = new ArrayList<>();
+        if (revision < 0) {
+            state.listAll(Records.OPEN, result -> listed(asking, result));
+        } else {
+            state.changes(Records.OPEN, revision, 0, result -> changed(asking, result));
+        }
+    }
+
+    private void listed(List<Asker> asking, Result<Listing> result) {
+        sendLater();
+        if (result instanceof Ok<Listing> ok) {
+            jobs.clear();
+            ok.value().entries().forEach(entry -> opened(entry.key(), entry.value(), entry.version()));
+            revision = ok.value().revision();
+        }
+        tell(asking, result instanceof Ok<Listing>);
+    }
+
+    private void changed(List<Asker> asking, Result<Changes> result) {
+        if (result instanceof Missing<Changes>) {
+            // Nobody has asked for so long that the service has forgotten what changed.
+            revision = -1;
+            waiting.addAll(0, asking);
+        }
+        sendLater();
+        if (result instanceof Ok<Changes> ok) {
+            for (Change change : ok.value().log()) {
+                if (change.value() == null) {
+                    jobs.remove(change.key().substring(Records.OPEN.length()));
+                } else {
+                    opened(change.key(), change.value(), change.version());
+                }
+            }
+            revision = Math.max(revision, ok.value().revision());
+        }
+        if (revision >= 0) {
+            tell(asking, result instanceof Ok<Changes>);
+        }
+    }
+
+    private void opened(String key, JsonNode value, long version) {
+        String id = key.substring(Records.OPEN.length());
+        jobs.put(id, new Open(Records.spec(id, value).tasks(), version));
+    }
+
+    private void sendLater() {
+        due = !waiting.isEmpty();
+        if (due) {
+            timer.accept(Math.max(0, askedAt + gapMs - loop.now()), this::send);
+        }
+    }
+
+    private void tell(List<Asker> asking, boolean known) {
+        asking.forEach(asker -> asker.then().accept(new Told(known, jobs.get(asker.job()))));
+    }
+}
--- a/src/main/java/notchpick/protocol/StateApi.java
+++ b/src/main/java/notchpick/protocol/StateApi.java
@@ -18,6 +18,8 @@
     public static final int LIST_PAGE = 1000;
     /** One lost packet must not make a controller pass for cut off. */
     private static final int FAILURES_TO_DOUBT = 3;
+    /** This part of a second's requests is kept for what can't wait. */
+    private static final double RESERVED = 0.3;
 
     private final Caller caller;
     private final EventLoop loop;
@@ -109,6 +111,18 @@
         return answered && failures < FAILURES_TO_DOUBT;
     }
 
+    /** Whether there is room for what can wait: submissions and the leader's writes must find some. */
+    public boolean hasSpare() {
+        refill();
+        return budget >= burst * RESERVED;
+    }
+
+    private void refill() {
+        long now = loop.now();
+        budget = Math.min(burst, budget + (now - budgetAt) * requestsPerMs);
+        budgetAt = now;
+    }
+
     public void get(String key, Consumer<Result<Entry>> then) {
         send("GET", "/keys/" + key, null, timeoutMs, false, answer -> then.accept(read(answer, body -> entry(body))));
     }
@@ -229,9 +243,7 @@
     }
 
     private void send(String method, String path, byte[] body, long timeout, boolean urgent, Consumer<Answer> then) {
-        long now = loop.now();
-        budget = Math.min(burst, budget + (now - budgetAt) * requestsPerMs);
-        budgetAt = now;
+        refill();
         // Leases must not lapse because of anything else that is asked.
         if (budget < 1 && !urgent) {
             then.accept(new Answer(429, new byte[0]));
