--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -52,6 +52,7 @@
     private final Runnable refused;
     private final BiConsumer<Long, Runnable> timer;
 
+    private final Boots boots;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<Pool, Long> refusedUntil = new HashMap<>();
     private final Set<Pool> asked = new HashSet<>();
@@ -78,6 +79,7 @@
         this.gone = gone;
         this.refused = refused;
         this.timer = timer;
+        this.boots = new Boots(roster, this::bootMs, deployment.reportS() * 1000);
     }
 
     void typesKnown(List<MachineType> known) {
@@ -99,6 +101,11 @@
         return known == null ? 60_000 : known.bootS() * 1000;
     }
 
+    /** Whether machines come so late at present that none should be given away lightly. */
+    boolean bootsAreLate() {
+        return boots.areLate();
+    }
+
     boolean wasReleased(String machine) {
         return released.contains(machine);
     }
@@ -120,6 +127,10 @@
             // What a former leader rented is not known yet; it must not be rented once more.
             return;
         }
+        for (Machine machine : boots.review(now)) {
+            LOG.info("machine {} never came up", machine.name);
+            machine.life = Life.RELEASED;
+        }
         List<Need> needs = needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
@@ -129,7 +140,7 @@
         }
         double bootS = types.values().stream().mapToDouble(MachineType::bootS).max().orElse(0);
         FleetPlan.Plan plan = FleetPlan.plan(needs, owned, types, 2 * bootS,
-                pool -> refusedUntil.getOrDefault(pool, 0L) > now);
+                pool -> refusedUntil.getOrDefault(pool, 0L) > now, boots::isLate);
         plan.rent().forEach((pool, count) -> {
             if (asked.add(pool)) {
                 rent(pool, count);
@@ -252,14 +263,8 @@
 
     /** Moves a machine on towards its release where there is a reason to. */
     private void retire(Machine machine, boolean unneeded, boolean mostAreSilent, long now) {
-        double reportMs = deployment.reportS() * 1000;
         switch (machine.life) {
-            case BOOTING -> {
-                if (now - machine.knownSince > 2.5 * bootMs(machine.type()) + 3 * reportMs) {
-                    LOG.info("machine {} never came up", machine.name);
-                    machine.life = Life.RELEASED;
-                }
-            }
+            case BOOTING -> { }
             case UP -> {
                 if (machine.isIdle() && unneeded && now - machine.idleSince > keepIdleMs(machine)) {
                     machine.life = Life.RELEASED;
@@ -277,9 +282,9 @@
         }
     }
 
-    /** A cheap machine is kept for as long as another would take to boot; an ordinary one hardly at all. */
+    /** A cheap machine is kept for as long as another would now take to boot; an ordinary one hardly at all. */
     private double keepIdleMs(Machine machine) {
-        return machine.spot() ? bootMs(machine.type()) : 2000 * deployment.reportS();
+        return machine.spot() || boots.isLate(machine.pool) ? boots.expectedMs(machine.type()) : 2000 * deployment.reportS();
     }
 
     /** If so, it is this controller that is out of reach rather than they. */
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -12,6 +12,9 @@
 
 /** Decides which machines to rent, and which idle ones are not needed any more. */
 public final class FleetPlan {
+    /** A machine that comes late at present counts as so many times dearer than one that does not. */
+    private static final double LATE_PRICE = 2;
+
     private FleetPlan() {}
 
     /** Where machines can be rented. */
@@ -51,9 +54,10 @@
      * @param needs in the order in which they are served
      * @param horizonS the backlog should be worked off in this time
      * @param refused pools that the cloud has lately refused
+     * @param late pools whose machines come late at present
      */
     public static Plan plan(List<Need> needs, List<Owned> owned, Map<String, MachineType> types,
-            double horizonS, Predicate<Pool> refused) {
+            double horizonS, Predicate<Pool> refused, Predicate<Pool> late) {
         List<Slot> slots = new ArrayList<>();
         for (Owned machine : owned) {
             MachineType type = types.get(machine.pool().type());
@@ -74,7 +78,7 @@
                 wanted -= pack(need, slot, wanted);
             }
             while (wanted > 0) {
-                Pool pool = choosePool(need, wanted, types, held, refused);
+                Pool pool = choosePool(need, wanted, types, held, refused, late);
                 if (pool == null) {
                     break;
                 }
@@ -128,7 +132,7 @@
      * the one of which least is held, so that one wave of taken machines doesn't take all.
      */
     private static Pool choosePool(Need need, int wanted, Map<String, MachineType> types, Map<Pool, Integer> held,
-            Predicate<Pool> refused) {
+            Predicate<Pool> refused, Predicate<Pool> late) {
         Pool best = null;
         double bestPrice = 0;
         for (boolean spot : new boolean[] {true, false}) {
@@ -145,7 +149,7 @@
                     }
                     int tasks = Math.min(wanted, need.spec().demand().countIn(type.size()));
                     double used = Math.max(tasks * need.spec().demand().cores(), 1e-3);
-                    double price = (spot ? type.spotPrice() : type.price()) / used;
+                    double price = (spot ? type.spotPrice() : type.price()) / used * (late.test(pool) ? LATE_PRICE : 1);
                     if (best == null || price < bestPrice
                             || price == bestPrice
                                     && held.getOrDefault(pool, 0) < held.getOrDefault(best, 0)) {
--- a/src/test/java/notchpick/scheduling/FleetPlanTest.java
+++ b/src/test/java/notchpick/scheduling/FleetPlanTest.java
@@ -26,21 +26,21 @@
     @Test
     void rentsCheapMachinesInBothZones() {
         FleetPlan.Plan plan = FleetPlan.plan(List.of(new Need(job(8, true, false), 8, 60, false, false)), List.of(),
-                TYPES, 60, pool -> false);
+                TYPES, 60, pool -> false, pool -> false);
         assertEquals(Map.of(new Pool("small", "east", true), 2, new Pool("small", "west", true), 2), plan.rent());
     }
 
     @Test
     void shortTasksTakeTurnsWithinTheHorizon() {
         FleetPlan.Plan plan = FleetPlan.plan(List.of(new Need(job(8, true, false), 8, 20, false, false)), List.of(),
-                TYPES, 60, pool -> pool.zone().equals("west"));
+                TYPES, 60, pool -> pool.zone().equals("west"), pool -> false);
         assertEquals(Map.of(new Pool("small", "east", true), 2), plan.rent());
     }
 
     @Test
     void replicasRunSideBySide() {
         FleetPlan.Plan plan = FleetPlan.plan(List.of(new Need(job(4, true, true), 4, 20, false, false)), List.of(),
-                TYPES, 60, pool -> pool.zone().equals("west"));
+                TYPES, 60, pool -> pool.zone().equals("west"), pool -> false);
         assertEquals(Map.of(new Pool("small", "east", true), 2), plan.rent());
     }
 
@@ -48,11 +48,11 @@
     void ordinaryMachinesOnlyForThosePressedOrWhoAskForThem() {
         java.util.function.Predicate<Pool> noSpot = Pool::spot;
         assertEquals(Map.of(), FleetPlan.plan(List.of(new Need(job(2, true, false), 2, 60, false, false)), List.of(),
-                TYPES, 60, noSpot).rent());
+                TYPES, 60, noSpot, pool -> false).rent());
         assertEquals(1, FleetPlan.plan(List.of(new Need(job(2, true, false), 2, 60, true, false)), List.of(),
-                TYPES, 60, noSpot).rent().size());
+                TYPES, 60, noSpot, pool -> false).rent().size());
         assertEquals(1, FleetPlan.plan(List.of(new Need(job(2, false, false), 2, 60, false, false)), List.of(),
-                TYPES, 60, pool -> false).rent().size());
+                TYPES, 60, pool -> false, pool -> false).rent().size());
     }
 
     @Test
@@ -61,7 +61,7 @@
         List<Owned> owned = List.of(new Owned("m-1", pool, SMALL.size(), false),
                 new Owned("m-2", pool, SMALL.size(), true), new Owned("m-3", pool, SMALL.size(), true));
         FleetPlan.Plan plan = FleetPlan.plan(List.of(new Need(job(4, true, false), 4, 60, false, false)), owned,
-                TYPES, 60, p -> false);
+                TYPES, 60, p -> false, p -> false);
         assertEquals(Set.of("m-3"), plan.unneeded());
         assertEquals(Map.of(), plan.rent());
     }
