--- a/src/main/java/notchpick/bookkeeping/Job.java
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -2,11 +2,20 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import notchpick.scheduling.JobSpec;
 
 /** An open job. */
 public final class Job {
+    /** So many machines must have failed a job before the mistake is taken to be its own. */
+    private static final int MACHINES_TO_DOUBT = 3;
+    /** So many tasks at a time show whether a doubted job can run after all. */
+    private static final int TRIAL_TASKS = 2;
+    /** The pause between trials doubles up to this many report periods. */
+    private static final int LONGEST_PAUSE = 16;
+
     public final JobSpec spec;
     /** Version of its description, which is deleted when the job ends. */
     public final long version;
@@ -19,7 +28,9 @@
     public final BitSet pending;
     /** Tasks in leased room. */
     public final BitSet leased = new BitSet();
-    public int failures;
+    /** Machines on which tasks of it have failed. */
+    private final Set<String> failedOn = new HashSet<>();
+    private int pause = 1;
     /** Whether a task of it ever failed, so that some machine may be shunned. */
     public boolean hasFailed;
     public long notBefore;
@@ -56,8 +67,38 @@
         return pressed || stranded || !spec.spot();
     }
 
+    /** A task of it has failed. */
+    public void failed(String machine, long now, double reportMs) {
+        failedOn.add(machine);
+        hasFailed = true;
+        // What fails of the same trial does not make the pause any longer.
+        if (isDoubted() && now >= notBefore) {
+            pause = Math.min(LONGEST_PAUSE, 2 * pause);
+            notBefore = now + (long) (reportMs * pause);
+        }
+    }
+
+    /**
+     * Whether it was probably submitted with a mistake: several machines have failed it and none has
+     * completed anything. Such a job gets a trial of few tasks now and then; with its full width it would take
+     * room from work that can run, and give machines a bad name.
+     */
+    public boolean isDoubted() {
+        return failedOn.size() >= MACHINES_TO_DOUBT && done.isEmpty() && !spec.isService();
+    }
+
+    /** How many of its tasks are to run side by side, as far as there is room. */
+    public int wanted() {
+        return isDoubted() ? Math.min(TRIAL_TASKS, unfinished()) : unfinished();
+    }
+
+    /** How many more of its tasks may be started. */
+    public int startable() {
+        return isDoubted() ? Math.max(0, TRIAL_TASKS - bound.size() - leased.cardinality()) : pending.cardinality();
+    }
+
     public boolean waits() {
-        return !pending.isEmpty();
+        return !pending.isEmpty() && (!isDoubted() || startable() > 0);
     }
 
     public void bind(int task) {
--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -43,6 +43,8 @@
     public long quarantinedUntil;
     /** Jobs whose tasks failed here since one last succeeded, and when. */
     public final Map<String, Long> failedJobs = new HashMap<>();
+    /** Since when it has seemed to fail whatever it starts; 0: it does not. */
+    public long blamedSince;
     /** A former leader may have sent it orders. */
     public boolean hinted;
     public boolean releaseDurable;
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -162,7 +162,7 @@
         List<Waiting<Job>> order = new ArrayList<>();
         for (Job job : roster.jobs.values()) {
             double runS = estimates.runS(job.spec);
-            order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
+            order.add(new Waiting<>(job, job.spec, job.wanted() * runS * job.spec.demand().cores(), runS));
         }
         Map<String, Amounts> byTeam = new HashMap<>();
         double cores = 0;
@@ -175,7 +175,7 @@
             JobSpec spec = waiting.spec();
             Job job = waiting.job();
             aheadS += waiting.remainingS();
-            int tasks = job.unfinished();
+            int tasks = job.wanted();
             Deployment.Limit limit = deployment.limit(spec.team());
             Amounts before = byTeam.getOrDefault(spec.team(), Amounts.NONE);
             if (limit != null && limit.most().cores() > 0 && spec.demand().cores() > 0) {
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -235,7 +235,7 @@
             Amounts held = turn.held;
             for (Job job : turn.skipped) {
                 int owed = 0;
-                while (owed < job.pending.cardinality()
+                while (owed < job.startable()
                         && limit.guarantees(held.plus(job.spec.demand().times(owed + 1)))) {
                     owed++;
                 }
@@ -244,7 +244,7 @@
                 // Much room falls free by itself within a report period.
                 boolean waited = now - job.skippedSince >= deployment.reportS() * 1000;
                 if (waited && (owed > 0 || urgent)) {
-                    starved.add(new Starved(job.spec, urgent ? job.pending.cardinality() : owed, owed > 0));
+                    starved.add(new Starved(job.spec, urgent ? job.startable() : owed, owed > 0));
                 }
             }
         }
@@ -288,7 +288,7 @@
         Map<Shape, Machine> chosen = new IdentityHashMap<>();
         for (int i = 0; i < turn.jobs.size();) {
             Job job = turn.jobs.get(i);
-            if (job.pending.isEmpty() || limit != null && !limit.allows(turn.held.plus(job.spec.demand()))) {
+            if (!job.waits() || limit != null && !limit.allows(turn.held.plus(job.spec.demand()))) {
                 turn.jobs.remove(i);
                 continue;
             }
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -201,6 +201,7 @@
             if (machine.noticeS != null) {
                 saveWork(machine);
             }
+            reports.judge(machine, now);
         }
         if (now - jobs.watchedAt() > deployment.cancelS() * 250) {
             giveWay.accept("cancellations can't be read");
@@ -228,7 +229,8 @@
 
     /** When nothing waits, half-empty machines whose tasks can save their progress are emptied. */
     private void consolidate(long now) {
-        if (granting.outstanding() > 0 || roster.jobs.values().stream().anyMatch(Job::waits)) {
+        if (granting.outstanding() > 0 || fleet.bootsAreLate()
+                || roster.jobs.values().stream().anyMatch(job -> job.waits() && !job.isDoubted())) {
             return;
         }
         List<Candidate<Machine>> candidates = new ArrayList<>();
--- a/src/main/java/notchpick/coordination/Reports.java
+++ b/src/main/java/notchpick/coordination/Reports.java
@@ -37,6 +37,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
     /** A report's answer waits this long for what the report made possible, as a part of its period. */
     private static final double HOLD_RATIO = 0.1;
+    /** So many jobs must have failed on a machine for it to be at fault. */
+    private static final int JOBS_TO_BLAME = 2;
+    /** A failure counts against its machine for so many report periods. */
+    private static final int BLAME_REPORTS = 20;
 
     private final EventLoop loop;
     private final Deployment deployment;
@@ -239,9 +243,6 @@
                 if (binding.running) {
                     estimates.observe(binding.spec, (now - binding.runningSince) / 1000.0);
                 }
-                if (job != null) {
-                    job.failures = 0;
-                }
             }
             case STOPPED -> { }
             case ERROR -> failed(machine, job, binding, now);
@@ -254,20 +255,48 @@
         }
     }
 
-    /** A machine is blamed only for jobs that have not failed on several machines. */
     private void failed(Machine machine, Job job, Binding binding, long now) {
         LOG.info("task {} failed on {}", binding.taskName(), machine.name);
         machine.failedJobs.put(binding.spec.id(), now);
-        if (job == null) {
+        if (job != null) {
+            job.failed(machine.name, now, reportMs());
+        }
+        if (machine.blamedSince == 0 && isToBlame(machine, now)) {
+            machine.blamedSince = now;
+            machine.quarantinedUntil = Long.MAX_VALUE;
+        }
+    }
+
+    private double reportMs() {
+        return deployment.reportS() * 1000;
+    }
+
+    /**
+     * Whether several jobs have lately failed on the machine and none has succeeded, those left aside that
+     * fail everywhere or that their users have given up.
+     */
+    private boolean isToBlame(Machine machine, long now) {
+        int jobs = 0;
+        for (Map.Entry<String, Long> failed : machine.failedJobs.entrySet()) {
+            Job job = roster.jobs.get(failed.getKey());
+            boolean counts = job != null && !job.isDoubted() && now - failed.getValue() < reportMs() * BLAME_REPORTS;
+            jobs += counts ? 1 : 0;
+        }
+        return jobs >= JOBS_TO_BLAME;
+    }
+
+    /**
+     * Lets machines go that fail what they start. Judged a report period after the failure: by then jobs with
+     * a mistake, several of which may have failed on a sound machine first, have failed elsewhere too.
+     */
+    void judge(Machine machine, long now) {
+        if (machine.blamedSince == 0) {
             return;
         }
-        job.failures++;
-        job.hasFailed = true;
-        long elsewhere = roster.machines.values().stream()
-                .filter(other -> other != machine && other.failedJobs.containsKey(binding.spec.id())).count();
-        if (elsewhere >= 2) {
-            job.notBefore = now + (long) (deployment.reportS() * 1000 * Math.min(20, job.failures));
-        } else if (machine.failedJobs.size() >= 2 && machine.life == Life.UP) {
+        if (!isToBlame(machine, now)) {
+            machine.blamedSince = 0;
+            machine.quarantinedUntil = now;
+        } else if (now - machine.blamedSince >= reportMs() && machine.life == Life.UP) {
             LOG.info("machine {} fails what it starts: it goes", machine.name);
             machine.life = Life.LEAVING;
         }
