--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -50,6 +50,10 @@
     private static final int SHUN_REPORTS = 20;
     /** How often tasks may be told to give way, in report periods. */
     private static final double MAKE_ROOM_RATIO = 0.2;
+    /** Whose next task is of an earlier group goes first; the paper's ranking decides within each. */
+    private static final int GUARANTEED = 0;
+    private static final int URGENT = 1;
+    private static final int OTHERS = 2;
     private static final BitSet NO_TASKS = new BitSet();
 
     private final EventLoop loop;
@@ -165,10 +169,18 @@
             return Sdrf.rank(Sdrf.share(held, total), commitments.getOrDefault(team, Amounts.NONE));
         }
 
-        /** Ours: a team that stays within its guarantee does not wait for others. */
+        /**
+         * Ours: a team that stays within its guarantee does not wait for others, and urgent work does not wait
+         * for what would be stopped for it: the room would go back to the lower team, and be asked for again.
+         */
         private int group() {
+            if (jobs.isEmpty()) {
+                return OTHERS;
+            }
+            JobSpec next = jobs.get(0).spec;
             Deployment.Limit limit = deployment.limit(team);
-            return limit != null && !jobs.isEmpty() && limit.guarantees(held.plus(jobs.get(0).spec.demand())) ? 0 : 1;
+            return limit != null && limit.guarantees(held.plus(next.demand())) ? GUARANTEED
+                    : isUrgent(next) ? URGENT : OTHERS;
         }
     }
 
@@ -324,7 +336,7 @@
             if (head == null) {
                 head = job;
                 headMachine = machine;
-                if (turn.group() == 0 || !mayDefer(job, machine, now)) {
+                if (turn.group() == GUARANTEED || !mayDefer(job, machine, now)) {
                     break;
                 }
             }
