--- a/src/main/java/notchpick/app/Settings.java
+++ b/src/main/java/notchpick/app/Settings.java
@@ -15,6 +15,9 @@
 import notchpick.coordination.Deployment.Peer;
 import notchpick.protocol.Json;
 import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Objectives;
+import notchpick.scheduling.Objectives.Kind;
+import notchpick.scheduling.Objectives.Objective;
 
 /** Reads the settings file that the platform hands over. */
 public final class Settings {
@@ -59,10 +62,11 @@
                     new Amounts(optional(team, "cpus"), optional(team, "gpus"), 0),
                     new Amounts(optional(team, "cpus_max"), optional(team, "gpus_max"), 0)));
         }
-        Map<String, Double> within = new HashMap<>();
-        for (JsonNode objective : deployment.path("objectives")) {
-            if (objective.path("within_s").isNumber() && objective.path("class").isTextual()) {
-                within.merge(objective.path("class").asText(), objective.path("within_s").asDouble(), Math::min);
+        Map<String, List<Objective>> objectives = new HashMap<>();
+        for (JsonNode node : deployment.path("objectives")) {
+            Objective objective = objective(node);
+            if (objective != null && node.path("class").isTextual()) {
+                objectives.computeIfAbsent(node.path("class").asText(), c -> new ArrayList<>()).add(objective);
             }
         }
         List<String> zones = new ArrayList<>();
@@ -76,7 +80,7 @@
                 address(outside, "outside.", "state"),
                 zones,
                 teams,
-                within,
+                new Objectives(objectives),
                 positive(workers, "deployment.workers.", "report_s"),
                 positive(workers, "deployment.workers.", "lease_s"),
                 positive(workers, "deployment.workers.", "cancel_s"),
@@ -89,6 +93,17 @@
                 (int) positive(limits, "deployment.machine_limits.", "fd_limit"));
     }
 
+    /** Null for what says nothing of a class of jobs, or what this version does not know. */
+    private static Objective objective(JsonNode node) {
+        JsonNode within = node.path("within_s");
+        return switch (node.path("kind").asText()) {
+            case "wait" -> within.isNumber() ? new Objective(Kind.STARTED, within.asDouble()) : null;
+            case "finished" -> within.isNumber() ? new Objective(Kind.FINISHED, within.asDouble()) : null;
+            case "deadline" -> new Objective(Kind.DEADLINE, node.path("times").asDouble(1));
+            default -> null;
+        };
+    }
+
     private static JsonNode node(JsonNode parent, String where, String field) throws Unusable {
         JsonNode node = parent.get(field);
         if (node == null || !node.isObject()) {
--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -1,8 +1,8 @@
 package notchpick.coordination;
 
 import java.util.List;
-import java.util.Map;
 import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Objectives;
 
 /** What the platform tells a controller of the deployment, and what follows from it. */
 public record Deployment(
@@ -14,7 +14,7 @@
         String stateAddress,
         List<String> zones,
         List<Limit> teams,
-        Map<String, Double> withinS,
+        Objectives objectives,
         double reportS,
         double workerLeaseS,
         double cancelS,
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -176,7 +176,7 @@
         }
         double aheadS = 0;
         List<Need> needs = new ArrayList<>();
-        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.withinS(), 1)) {
+        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), 1)) {
             JobSpec spec = waiting.spec();
             Job job = waiting.job();
             aheadS += waiting.remainingS();
@@ -202,11 +202,11 @@
     /** Whether what there is would finish an urgent job too late, while more machines still could help. */
     private boolean isPressed(Waiting<Job> waiting, double queueS) {
         JobSpec spec = waiting.spec();
-        Double dueS = spec.deadlineS() != null ? spec.deadlineS() : deployment.withinS().get(spec.jobClass());
-        if (dueS == null || spec.priority().ordinal() > JobSpec.Priority.HIGH.ordinal()) {
+        if (!spec.isUrgent()) {
             return false;
         }
-        double leftS = dueS - (loop.wallTime() - spec.submittedAt()) / 1000.0 - waiting.runS();
+        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
+        double leftS = deployment.objectives().slackS(spec, ageS, waiting.runS());
         return leftS > 0 && queueS > leftS;
     }
 
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -135,7 +135,7 @@
         static Shape of(Job job) {
             JobSpec spec = job.spec;
             return constrained(spec) || job.hasFailed ? null : new Shape(spec.demand(), spec.types(), spec.zone(),
-                    spec.spot(), job.mayUseOrdinary(), isUrgent(spec), spec.image());
+                    spec.spot(), job.mayUseOrdinary(), spec.isUrgent(), spec.image());
         }
     }
 
@@ -180,7 +180,7 @@
             JobSpec next = jobs.get(0).spec;
             Deployment.Limit limit = deployment.limit(team);
             return limit != null && limit.guarantees(held.plus(next.demand())) ? GUARANTEED
-                    : isUrgent(next) ? URGENT : OTHERS;
+                    : next.isUrgent() ? URGENT : OTHERS;
         }
     }
 
@@ -216,7 +216,7 @@
                 order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
             }
             List<Job> sorted = new ArrayList<>();
-            JobOrder.sorted(order, loop.wallTime(), deployment.withinS(), total.cores())
+            JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), total.cores())
                     .forEach(w -> sorted.add(w.job()));
             active.add(new Turn(team, sorted, new Leased(++lastLease, team, holder(team))));
         });
@@ -252,7 +252,7 @@
                     owed++;
                 }
                 held = held.plus(job.spec.demand().times(owed));
-                boolean urgent = isUrgent(job.spec);
+                boolean urgent = job.spec.isUrgent();
                 // Much room falls free by itself within a report period.
                 boolean waited = now - job.skippedSince >= deployment.reportS() * 1000;
                 if (waited && (owed > 0 || urgent)) {
@@ -355,7 +355,7 @@
      */
     private boolean mayDefer(Job job, Machine machine, long now) {
         double fetchMs = 1000 * job.spec.imageGb() / Math.max(fetchGbPerS.applyAsDouble(machine.type()), 0.01);
-        return !isUrgent(job.spec) && (job.deferredSince == 0 || now - job.deferredSince < 2 * fetchMs);
+        return !job.spec.isUrgent() && (job.deferredSince == 0 || now - job.deferredSince < 2 * fetchMs);
     }
 
     private Machine choose(Job job, Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
@@ -366,7 +366,7 @@
                 && (m.spot() || job.mayUseOrdinary())
                 && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
                 && (barred.get(m) == null || barred.get(m) == turn);
-        return isUrgent(job.spec) ? open.chooseSoonest(job.spec, admits, m -> answerInMs(m, now))
+        return job.spec.isUrgent() ? open.chooseSoonest(job.spec, admits, m -> answerInMs(m, now))
                 : open.choose(job.spec, admits);
     }
 
@@ -376,10 +376,6 @@
                 : Math.max(1, machine.reportedAt + (long) (deployment.reportS() * 1000) - now);
     }
 
-    private static boolean isUrgent(JobSpec spec) {
-        return spec.priority().ordinal() <= JobSpec.Priority.HIGH.ordinal();
-    }
-
     private void grant(Turn turn, Job job, Machine machine, SiteIndex<Machine> open) {
         Amounts demand = job.spec.demand();
         job.skippedSince = 0;
--- a/src/main/java/notchpick/scheduling/JobOrder.java
+++ b/src/main/java/notchpick/scheduling/JobOrder.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 
 /** The order in which the jobs of one team are served: priority, then time left, then age. */
 public final class JobOrder {
@@ -25,14 +24,15 @@
     /**
      * The jobs in their order.
      *
-     * @param withinS by class, the time in which the users want a job finished or started
+     * @param objectives what the operators have promised
      * @param cores what there is to work on
      */
-    public static <J> List<Waiting<J>> sorted(Collection<Waiting<J>> jobs, long wallTime, Map<String, Double> withinS,
+    public static <J> List<Waiting<J>> sorted(Collection<Waiting<J>> jobs, long wallTime, Objectives objectives,
             double cores) {
         List<Placed<J>> placed = new ArrayList<>(jobs.size());
         for (Waiting<J> waiting : jobs) {
-            double slackS = slackS(waiting, wallTime, withinS);
+            double slackS = objectives.slackS(waiting.spec(),
+                    (wallTime - waiting.spec().submittedAt()) / 1000.0, waiting.runS());
             placed.add(new Placed<>(waiting, waiting.spec().priority().ordinal(),
                     // What can't be on time any more must not make others late too.
                     slackS < 0,
@@ -48,13 +48,4 @@
         placed.forEach(p -> sorted.add(p.waiting()));
         return sorted;
     }
-
-    private static double slackS(Waiting<?> waiting, long wallTime, Map<String, Double> withinS) {
-        JobSpec spec = waiting.spec();
-        double dueS = spec.deadlineS() != null
-                ? spec.deadlineS()
-                : withinS.getOrDefault(spec.jobClass(), 10 * waiting.runS());
-        double ageS = (wallTime - spec.submittedAt()) / 1000.0;
-        return dueS - ageS - waiting.runS();
-    }
 }
--- a/src/main/java/notchpick/scheduling/JobSpec.java
+++ b/src/main/java/notchpick/scheduling/JobSpec.java
@@ -42,6 +42,11 @@
         return job + "/" + task;
     }
 
+    /** Urgent work does not wait for other work to end by itself. */
+    public boolean isUrgent() {
+        return priority.ordinal() <= Priority.HIGH.ordinal();
+    }
+
     public boolean isService() {
         return form == Form.SERVICE;
     }
--- /dev/null
+++ b/src/main/java/notchpick/scheduling/Objectives.java
@@ -0,0 +1,57 @@
+package notchpick.scheduling;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the operators have promised their users, by class of jobs. */
+public record Objectives(Map<String, List<Objective>> byClass) {
+    public static final Objectives NONE = new Objectives(Map.of());
+    /** A job of which nothing was promised is due after so many of its run times. */
+    private static final double UNPROMISED_RUNS = 10;
+
+    /** What an objective is about. */
+    public enum Kind {
+        /** All tasks are to be started within so many seconds. */
+        STARTED,
+        /** The job is to be done within so many seconds. */
+        FINISHED,
+        /** The job is to be done within so many times its own deadline. */
+        DEADLINE
+    }
+
+    public record Objective(Kind kind, double limit) {
+        private double slackS(JobSpec spec, double ageS, double runS) {
+            return switch (kind) {
+                case STARTED -> limit - ageS;
+                case FINISHED -> limit - ageS - runS;
+                case DEADLINE -> spec.deadlineS() == null ? -1 : limit * spec.deadlineS() - ageS - runS;
+            };
+        }
+    }
+
+    private List<Objective> of(JobSpec spec) {
+        List<Objective> own = byClass.getOrDefault(spec.jobClass(), List.of());
+        return own.isEmpty() && spec.deadlineS() != null ? List.of(new Objective(Kind.DEADLINE, 1)) : own;
+    }
+
+    /**
+     * For how long the job may wait and still be in time: by the nearest objective that can be met. Negative
+     * if none can be met any more.
+     *
+     * @param ageS since its submission
+     * @param runS what a task of it is expected to run
+     */
+    public double slackS(JobSpec spec, double ageS, double runS) {
+        double nearest = Double.POSITIVE_INFINITY;
+        double last = Double.NEGATIVE_INFINITY;
+        for (Objective objective : of(spec)) {
+            double slackS = objective.slackS(spec, ageS, runS);
+            last = Math.max(last, slackS);
+            nearest = slackS >= 0 ? Math.min(nearest, slackS) : nearest;
+        }
+        if (nearest < Double.POSITIVE_INFINITY) {
+            return nearest;
+        }
+        return last > Double.NEGATIVE_INFINITY ? last : UNPROMISED_RUNS * runS - ageS - runS;
+    }
+}
--- a/src/test/java/notchpick/app/SettingsTest.java
+++ b/src/test/java/notchpick/app/SettingsTest.java
@@ -6,8 +6,11 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Tuning;
+import notchpick.scheduling.Objectives.Kind;
+import notchpick.scheduling.Objectives.Objective;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,7 +40,8 @@
     void readsWhatThePlatformSays() throws Exception {
         Deployment deployment = Settings.read(file("s.json", GOOD));
         assertEquals(2, deployment.controllers());
-        assertEquals(90.0, deployment.withinS().get("c"));
+        assertEquals(List.of(new Objective(Kind.FINISHED, 150), new Objective(Kind.STARTED, 90)),
+                deployment.objectives().byClass().get("c"));
         assertTrue(deployment.limit("a").allows(new notchpick.scheduling.Amounts(1000, 0, 0)));
     }
 
--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/GrantingTest.java
@@ -24,6 +24,7 @@
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.Objectives;
 import notchpick.standin.Simulation;
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.EventLoop;
@@ -40,7 +41,7 @@
 
     private final Deployment deployment = new Deployment("n-0", "a:1", "a:2", List.of(new Peer("n-1", "b:2")), "c:1",
             "s:1", List.of("east"), List.of(new Limit("a", Amounts.NONE, Amounts.NONE),
-            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Map.of(), 3, 20, 40, 100, 100,
+            new Limit("b", Amounts.NONE, new Amounts(4, 0, 0))), Objectives.NONE, 3, 20, 40, 100, 100,
             16 << 10, 12, 5, 3, 100);
     private final Peers peers = new Peers(loop, deployment, (call, timeoutMs, then) -> {
         if (PeerWire.body(call.body()) instanceof Grant grant) {
--- /dev/null
+++ b/src/test/java/notchpick/scheduling/ObjectivesTest.java
@@ -0,0 +1,46 @@
+package notchpick.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import notchpick.scheduling.Objectives.Kind;
+import notchpick.scheduling.Objectives.Objective;
+import org.junit.jupiter.api.Test;
+
+class ObjectivesTest {
+    private static final Objectives OBJECTIVES = new Objectives(Map.of(
+            "import", List.of(new Objective(Kind.FINISHED, 200), new Objective(Kind.FINISHED, 300)),
+            "sweep", List.of(new Objective(Kind.STARTED, 200)),
+            "credit", List.of(new Objective(Kind.DEADLINE, 1), new Objective(Kind.DEADLINE, 1.5))));
+
+    private static JobSpec job(String jobClass, Double deadlineS) {
+        return new JobSpec("run-1", jobClass, "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 4,
+                new Amounts(1, 0, 1), null, null, false, false, true, "i", 1, 40, 0, 0, deadlineS, 0);
+    }
+
+    @Test
+    void aMissedObjectiveGivesWayToTheNext() {
+        assertEquals(60, OBJECTIVES.slackS(job("import", null), 100, 40));
+        assertEquals(90, OBJECTIVES.slackS(job("import", null), 170, 40));
+        assertTrue(OBJECTIVES.slackS(job("import", null), 270, 40) < 0);
+    }
+
+    @Test
+    void whatIsToBeStartedInTimeMayEndLater() {
+        assertEquals(10, OBJECTIVES.slackS(job("sweep", null), 190, 100));
+    }
+
+    @Test
+    void deadlinesAreTheJobsOwn() {
+        assertEquals(30, OBJECTIVES.slackS(job("credit", 100.0), 30, 40));
+        assertEquals(40, OBJECTIVES.slackS(job("credit", 100.0), 70, 40));
+        assertEquals(30, OBJECTIVES.slackS(job("other", 100.0), 30, 40));
+    }
+
+    @Test
+    void withoutAnyPromiseRunTimesCount() {
+        assertEquals(260, OBJECTIVES.slackS(job("other", null), 100, 40));
+    }
+}
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -20,6 +20,9 @@
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.MachineType;
+import notchpick.scheduling.Objectives;
+import notchpick.scheduling.Objectives.Kind;
+import notchpick.scheduling.Objectives.Objective;
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.Caller.Call;
 
@@ -157,7 +160,7 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                List.of("east", "west"), teams, Map.of("slow", 300.0), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, writesPerS,
+                List.of("east", "west"), teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, writesPerS,
                 StateStandIn.MAX_VALUE_BYTES, 12, 10,
                 3, 1000);
         // Clocks at the edges of their bounds.
