--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -176,7 +176,7 @@
         }
         double aheadS = 0;
         List<Need> needs = new ArrayList<>();
-        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), 1)) {
+        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), cores)) {
             JobSpec spec = waiting.spec();
             Job job = waiting.job();
             aheadS += waiting.remainingS();
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -216,7 +216,7 @@
                 order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
             }
             List<Job> sorted = new ArrayList<>();
-            JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), total.cores())
+            JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), coresOf(team, total, present.size()))
                     .forEach(w -> sorted.add(w.job()));
             active.add(new Turn(team, sorted, new Leased(++lastLease, team, holder(team))));
         });
@@ -239,6 +239,17 @@
         }
     }
 
+    /** What a team can count on, about: its guarantee, an equal part, or what it has now. */
+    private double coresOf(String team, Amounts total, int teams) {
+        Deployment.Limit limit = deployment.limit(team);
+        double cores = Math.max(total.cores() / Math.max(1, teams), roster.use(team).cores());
+        if (limit == null) {
+            return cores;
+        }
+        cores = Math.max(cores, limit.guarantee().cores());
+        return limit.most().cores() > 0 ? Math.min(cores, limit.most().cores()) : cores;
+    }
+
     /** Has tasks saved and stopped that keep guaranteed or urgent work waiting. */
     private void makeRoom(List<Turn> turns, long now) {
         List<Starved> starved = new ArrayList<>();
