--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -53,7 +53,8 @@
     /** Whose next task is of an earlier group goes first; the paper's ranking decides within each. */
     private static final int GUARANTEED = 0;
     private static final int URGENT = 1;
-    private static final int OTHERS = 2;
+    private static final int PROMISED = 2;
+    private static final int OTHERS = 3;
     private static final BitSet NO_TASKS = new BitSet();
 
     private final EventLoop loop;
@@ -170,8 +171,9 @@
         }
 
         /**
-         * Ours: a team that stays within its guarantee does not wait for others, and urgent work does not wait
-         * for what would be stopped for it: the room would go back to the lower team, and be asked for again.
+         * Ours: a team that stays within its guarantee does not wait for others; urgent work does not wait for
+         * what would be stopped for it: the room would go back to the lower team, and be asked for again; and
+         * what was promised to its users, and can still be kept, does not wait for work that was not.
          */
         private int group() {
             if (jobs.isEmpty()) {
@@ -180,7 +182,7 @@
             JobSpec next = jobs.get(0).spec;
             Deployment.Limit limit = deployment.limit(team);
             return limit != null && limit.guarantees(held.plus(next.demand())) ? GUARANTEED
-                    : next.isUrgent() ? URGENT : OTHERS;
+                    : next.isUrgent() ? URGENT : canBeKept(next) ? PROMISED : OTHERS;
         }
     }
 
@@ -239,6 +241,11 @@
         }
     }
 
+    private boolean canBeKept(JobSpec spec) {
+        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
+        return deployment.objectives().canBeKept(spec, ageS, estimates.runS(spec));
+    }
+
     /** What a team can count on, about: its guarantee, an equal part, or what it has now. */
     private double coresOf(String team, Amounts total, int teams) {
         Deployment.Limit limit = deployment.limit(team);
--- a/src/main/java/notchpick/scheduling/Objectives.java
+++ b/src/main/java/notchpick/scheduling/Objectives.java
@@ -34,6 +34,11 @@
         return own.isEmpty() && spec.deadlineS() != null ? List.of(new Objective(Kind.DEADLINE, 1)) : own;
     }
 
+    /** Whether something was promised of the job that can still be kept. */
+    public boolean canBeKept(JobSpec spec, double ageS, double runS) {
+        return !of(spec).isEmpty() && slackS(spec, ageS, runS) >= 0;
+    }
+
     /**
      * For how long the job may wait and still be in time: by the nearest objective that can be met. Negative
      * if none can be met any more.
