--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -193,17 +193,21 @@
         }
     }
 
+    /** After this process stood still, what others sent meanwhile is yet to be read: their silence says nothing. */
+    private void noteStandstill(long now) {
+        if (now - tickedAt > tickMs() * LATE_TICKS) {
+            log.info("stood still for {} s", (now - tickedAt) / 1000.0);
+            awakeSince = now;
+        }
+    }
+
     private long tickMs() {
         return (long) (deployment.reportS() * 1000 / 3);
     }
 
     private void tick() {
         long now = loop.now();
-        if (now - tickedAt > tickMs() * LATE_TICKS) {
-            // It stood still. What others sent meanwhile is still to be read: their silence says nothing.
-            log.info("stood still for {} s", (now - tickedAt) / 1000.0);
-            awakeSince = now;
-        }
+        noteStandstill(now);
         tickedAt = now;
         long leaseMs = (long) (deployment.workerLeaseS() * 1000);
         for (Machine machine : List.copyOf(roster.machines.values())) {
@@ -240,6 +244,7 @@
 
     private void reviewFleet() {
         if (holdsClaim()) {
+            noteStandstill(loop.now());
             fleet.review(awakeSince);
         }
     }
