--- a/src/main/java/notchpick/coordination/Acceptances.java
+++ b/src/main/java/notchpick/coordination/Acceptances.java
@@ -16,15 +16,16 @@
 import notchpick.scheduling.JobSpec;
 
 /**
- * Writes down the jobs that users submit, before they are told. One transaction is on its way at a time, and
- * takes along what came meanwhile: a swarm of small jobs, or all that come while a controller has just begun
- * and is slow, needs few requests. Nothing waits for company.
+ * Writes down the jobs that users submit, before they are told. A few transactions are on their way at a time,
+ * and each takes along what came meanwhile, so that a swarm of small jobs needs few requests. Nothing waits
+ * for company: where few come, each goes by itself at once.
  */
 final class Acceptances {
     /** What becomes of a submission. */
     enum Outcome { ACCEPTED, KNOWN, REFUSED }
 
     private static final int TOO_MANY = 429;
+    private static final int MOST_ON_THEIR_WAY = 4;
     /** A transaction may hold 64 KiB in all; keys and conditions take some of it. */
     private static final int MAX_BYTES = 48 << 10;
 
@@ -34,7 +35,8 @@
     private final int most;
     private final BiConsumer<Long, Runnable> timer;
     private final List<Submission> waiting = new ArrayList<>();
-    private boolean busy;
+    private int onTheirWay;
+    private boolean due;
 
     /** @param most so many jobs go into one transaction */
     Acceptances(StateApi state, int most, BiConsumer<Long, Runnable> timer) {
@@ -45,10 +47,13 @@
 
     void add(JobSpec spec, Consumer<Outcome> then) {
         waiting.add(new Submission(spec, then));
-        if (!busy) {
-            busy = true;
+        if (!due && onTheirWay < MOST_ON_THEIR_WAY) {
+            due = true;
             // Whatever else has arrived already shall go along.
-            timer.accept(0L, this::next);
+            timer.accept(0L, () -> {
+                due = false;
+                next();
+            });
         }
     }
 
@@ -65,8 +70,8 @@
             batch.add(submission);
         }
         waiting.subList(0, batch.size()).clear();
-        busy = !batch.isEmpty();
-        if (busy) {
+        if (!batch.isEmpty()) {
+            onTheirWay++;
             send(batch);
         }
     }
@@ -83,6 +88,7 @@
     }
 
     private void committed(List<Submission> batch, Result<Long> result) {
+        onTheirWay--;
         if (result instanceof Conflict<Long> conflict) {
             List<Submission> rest = new ArrayList<>();
             List<Submission> known = new ArrayList<>();
@@ -109,7 +115,6 @@
             List<Submission> all = new ArrayList<>(batch);
             all.addAll(waiting);
             waiting.clear();
-            busy = false;
             tell(all, Outcome.REFUSED);
         }
     }
@@ -118,6 +123,7 @@
         if (first.isEmpty()) {
             next();
         } else {
+            onTheirWay++;
             send(first);
         }
     }
