--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -1,8 +1,8 @@
 package notchpick.coordination;
 
 import java.util.List;
-import java.util.Map;
 import notchpick.scheduling.Amounts;
+import notchpick.scheduling.Objectives;
 
 /** What the platform tells a controller of the deployment, and what follows from it. */
 public record Deployment(
@@ -14,7 +14,7 @@
         String stateAddress,
         List<String> zones,
         List<Limit> teams,
-        Map<String, Double> withinS,
+        Objectives objectives,
         double reportS,
         double workerLeaseS,
         double cancelS,
@@ -61,6 +61,11 @@
         return peers.size() + 1;
     }
 
+    /** This controller's part of the requests that the state service takes. */
+    public double requestsPerS() {
+        return stateRps / controllers();
+    }
+
     public Limit limit(String team) {
         for (Limit limit : teams) {
             if (limit.team().equals(team)) {
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -52,6 +52,7 @@
     private final Runnable refused;
     private final BiConsumer<Long, Runnable> timer;
 
+    private final Boots boots;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<Pool, Long> refusedUntil = new HashMap<>();
     private final Set<Pool> asked = new HashSet<>();
@@ -78,6 +79,7 @@
         this.gone = gone;
         this.refused = refused;
         this.timer = timer;
+        this.boots = new Boots(roster, this::bootMs, deployment.reportS() * 1000);
     }
 
     void typesKnown(List<MachineType> known) {
@@ -99,6 +101,11 @@
         return known == null ? 60_000 : known.bootS() * 1000;
     }
 
+    /** Whether machines come so late at present that none should be given away lightly. */
+    boolean bootsAreLate() {
+        return boots.areLate();
+    }
+
     boolean wasReleased(String machine) {
         return released.contains(machine);
     }
@@ -113,13 +120,21 @@
         }
     }
 
-    /** One look at what is needed and what there is. */
-    void review() {
+    /**
+     * One look at what is needed and what there is.
+     *
+     * @param awakeSince nobody's silence from before then counts
+     */
+    void review(long awakeSince) {
         long now = loop.now();
         if (!listed) {
             // What a former leader rented is not known yet; it must not be rented once more.
             return;
         }
+        for (Machine machine : boots.review(now)) {
+            LOG.info("machine {} never came up", machine.name);
+            machine.life = Life.RELEASED;
+        }
         List<Need> needs = needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
@@ -129,16 +144,17 @@
         }
         double bootS = types.values().stream().mapToDouble(MachineType::bootS).max().orElse(0);
         FleetPlan.Plan plan = FleetPlan.plan(needs, owned, types, 2 * bootS,
-                pool -> refusedUntil.getOrDefault(pool, 0L) > now);
+                pool -> refusedUntil.getOrDefault(pool, 0L) > now, boots::isLate);
         plan.rent().forEach((pool, count) -> {
             if (asked.add(pool)) {
                 rent(pool, count);
             }
         });
-        boolean mostAreSilent = mostAreSilent(now);
+        boolean mostAreSilent = mostAreSilent(now, awakeSince);
         boolean leaving = false;
         for (Machine machine : roster.machines.values()) {
-            retire(machine, plan.unneeded().contains(machine.name), mostAreSilent, now);
+            long silentMs = now - Math.max(machine.reportedAt, awakeSince);
+            retire(machine, plan.unneeded().contains(machine.name), silentMs, mostAreSilent, now);
             leaving |= machine.life == Life.RELEASED && !machine.releaseDurable;
         }
         if (leaving) {
@@ -151,7 +167,7 @@
         List<Waiting<Job>> order = new ArrayList<>();
         for (Job job : roster.jobs.values()) {
             double runS = estimates.runS(job.spec);
-            order.add(new Waiting<>(job, job.spec, job.unfinished() * runS * job.spec.demand().cores(), runS));
+            order.add(new Waiting<>(job, job.spec, job.wanted() * runS * job.spec.demand().cores(), runS));
         }
         Map<String, Amounts> byTeam = new HashMap<>();
         double cores = 0;
@@ -160,11 +176,11 @@
         }
         double aheadS = 0;
         List<Need> needs = new ArrayList<>();
-        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.withinS(), 1)) {
+        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), 1)) {
             JobSpec spec = waiting.spec();
             Job job = waiting.job();
             aheadS += waiting.remainingS();
-            int tasks = job.unfinished();
+            int tasks = job.wanted();
             Deployment.Limit limit = deployment.limit(spec.team());
             Amounts before = byTeam.getOrDefault(spec.team(), Amounts.NONE);
             if (limit != null && limit.most().cores() > 0 && spec.demand().cores() > 0) {
@@ -186,11 +202,11 @@
     /** Whether what there is would finish an urgent job too late, while more machines still could help. */
     private boolean isPressed(Waiting<Job> waiting, double queueS) {
         JobSpec spec = waiting.spec();
-        Double dueS = spec.deadlineS() != null ? spec.deadlineS() : deployment.withinS().get(spec.jobClass());
-        if (dueS == null || spec.priority().ordinal() > JobSpec.Priority.HIGH.ordinal()) {
+        if (!spec.isUrgent()) {
             return false;
         }
-        double leftS = dueS - (loop.wallTime() - spec.submittedAt()) / 1000.0 - waiting.runS();
+        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
+        double leftS = deployment.objectives().slackS(spec, ageS, waiting.runS());
         return leftS > 0 && queueS > leftS;
     }
 
@@ -251,25 +267,19 @@
     }
 
     /** Moves a machine on towards its release where there is a reason to. */
-    private void retire(Machine machine, boolean unneeded, boolean mostAreSilent, long now) {
-        double reportMs = deployment.reportS() * 1000;
+    private void retire(Machine machine, boolean unneeded, long silentMs, boolean mostAreSilent, long now) {
         switch (machine.life) {
-            case BOOTING -> {
-                if (now - machine.knownSince > 2.5 * bootMs(machine.type()) + 3 * reportMs) {
-                    LOG.info("machine {} never came up", machine.name);
-                    machine.life = Life.RELEASED;
-                }
-            }
+            case BOOTING -> { }
             case UP -> {
                 if (machine.isIdle() && unneeded && now - machine.idleSince > keepIdleMs(machine)) {
                     machine.life = Life.RELEASED;
-                } else if (now - machine.reportedAt > deployment.workerLeaseS() * 500 && !mostAreSilent) {
+                } else if (silentMs > deployment.workerLeaseS() * 500 && !mostAreSilent) {
                     LOG.info("machine {} is silent", machine.name);
                     machine.life = Life.RELEASED;
                 }
             }
             case LEAVING -> {
-                if (machine.isIdle() || now - machine.reportedAt > deployment.workerLeaseS() * 500) {
+                if (machine.isIdle() || silentMs > deployment.workerLeaseS() * 500) {
                     machine.life = Life.RELEASED;
                 }
             }
@@ -277,19 +287,19 @@
         }
     }
 
-    /** A cheap machine is kept for as long as another would take to boot; an ordinary one hardly at all. */
+    /** A cheap machine is kept for as long as another would now take to boot; an ordinary one hardly at all. */
     private double keepIdleMs(Machine machine) {
-        return machine.spot() ? bootMs(machine.type()) : 2000 * deployment.reportS();
+        return machine.spot() || boots.isLate(machine.pool) ? boots.expectedMs(machine.type()) : 2000 * deployment.reportS();
     }
 
     /** If so, it is this controller that is out of reach rather than they. */
-    private boolean mostAreSilent(long now) {
+    private boolean mostAreSilent(long now, long awakeSince) {
         int up = 0;
         int silent = 0;
         for (Machine machine : roster.machines.values()) {
             if (machine.life == Life.UP) {
                 up++;
-                silent += now - machine.reportedAt > deployment.workerLeaseS() * 400 ? 1 : 0;
+                silent += now - Math.max(machine.reportedAt, awakeSince) > deployment.workerLeaseS() * 400 ? 1 : 0;
             }
         }
         return silent > 3 && silent * 2 > up;
