--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -118,6 +118,13 @@
         room = size.minus(leased).minus(held);
     }
 
+    /** Whether tasks may be started on it. */
+    public boolean isUsable(long now, double reportMs) {
+        return life == Life.UP && settled && noticeS == null && quarantinedUntil <= now
+                // A machine that has missed reports may be gone; what is started there would only wait.
+                && now - reportedAt < 2 * reportMs;
+    }
+
     public boolean isIdle() {
         return bindings.isEmpty() && !isLeased();
     }
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Ledger;
 import notchpick.bookkeeping.Ledger.Prepared;
 import notchpick.bookkeeping.Ledger.Write;
@@ -26,8 +25,6 @@
 import notchpick.scheduling.FleetPlan.Owned;
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobOrder;
-import notchpick.scheduling.JobOrder.Waiting;
-import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.MachineType;
 import notchpick.transport.EventLoop;
 import org.slf4j.Logger;
@@ -44,7 +41,6 @@
     private final EventLoop loop;
     private final Deployment deployment;
     private final Roster roster;
-    private final Estimates estimates;
     private final CloudApi cloud;
     private final Ledger ledger;
     private final String requestPrefix;
@@ -53,6 +49,7 @@
     private final BiConsumer<Long, Runnable> timer;
 
     private final Boots boots;
+    private final Demand demand;
     private final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<Pool, Long> refusedUntil = new HashMap<>();
     private final Set<Pool> asked = new HashSet<>();
@@ -71,7 +68,6 @@
         this.loop = loop;
         this.deployment = deployment;
         this.roster = roster;
-        this.estimates = estimates;
         this.cloud = cloud;
         this.ledger = ledger;
         // The term belongs to one controller and one of its lives, so the names are never used again.
@@ -80,6 +76,7 @@
         this.refused = refused;
         this.timer = timer;
         this.boots = new Boots(roster, this::bootMs, deployment.reportS() * 1000);
+        this.demand = new Demand(loop, deployment, roster, estimates, types, this::wasRefused);
     }
 
     void typesKnown(List<MachineType> known) {
@@ -106,6 +103,10 @@
         return boots.areLate();
     }
 
+    private boolean wasRefused(Pool pool) {
+        return refusedUntil.getOrDefault(pool, 0L) > loop.now();
+    }
+
     boolean wasReleased(String machine) {
         return released.contains(machine);
     }
@@ -135,7 +136,7 @@
             LOG.info("machine {} never came up", machine.name);
             machine.life = Life.RELEASED;
         }
-        List<Need> needs = needs();
+        List<Need> needs = demand.needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
             if (machine.life == Life.BOOTING || machine.life == Life.UP && machine.noticeS == null) {
@@ -144,7 +145,7 @@
         }
         double bootS = types.values().stream().mapToDouble(MachineType::bootS).max().orElse(0);
         FleetPlan.Plan plan = FleetPlan.plan(needs, owned, types, 2 * bootS,
-                pool -> refusedUntil.getOrDefault(pool, 0L) > now, boots::isLate);
+                this::wasRefused, boots::isLate);
         plan.rent().forEach((pool, count) -> {
             if (asked.add(pool)) {
                 rent(pool, count);
@@ -163,72 +164,6 @@
         release();
     }
 
-    private List<Need> needs() {
-        List<Waiting<Job>> order = new ArrayList<>();
-        for (Job job : roster.jobs.values()) {
-            double runS = estimates.runS(job.spec);
-            order.add(new Waiting<>(job, job.spec, job.wanted() * runS * job.spec.demand().cores(), runS));
-        }
-        Map<String, Amounts> byTeam = new HashMap<>();
-        double cores = 0;
-        for (Machine machine : roster.machines.values()) {
-            cores += machine.life == Life.BOOTING || machine.life == Life.UP ? machine.size.cores() : 0;
-        }
-        double aheadS = 0;
-        List<Need> needs = new ArrayList<>();
-        for (Waiting<Job> waiting : JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), cores)) {
-            JobSpec spec = waiting.spec();
-            Job job = waiting.job();
-            aheadS += waiting.remainingS();
-            int tasks = job.wanted();
-            Deployment.Limit limit = deployment.limit(spec.team());
-            Amounts before = byTeam.getOrDefault(spec.team(), Amounts.NONE);
-            if (limit != null && limit.most().cores() > 0 && spec.demand().cores() > 0) {
-                // What the team may not run at once needs no machines.
-                double room = limit.most().cores() - before.cores();
-                tasks = Math.min(tasks, (int) Math.max(0, room / spec.demand().cores()));
-            }
-            if (tasks > 0) {
-                Amounts after = byTeam.merge(spec.team(), spec.demand().times(tasks), Amounts::plus);
-                boolean atOnce = limit != null && limit.guarantees(after);
-                job.pressed = atOnce || isPressed(waiting, cores > 0 ? aheadS / cores : Double.MAX_VALUE);
-                job.stranded |= isStranded(spec);
-                needs.add(new Need(spec, tasks, waiting.runS(), job.mayUseOrdinary(), atOnce));
-            }
-        }
-        return needs;
-    }
-
-    /** Whether what there is would finish an urgent job too late, while more machines still could help. */
-    private boolean isPressed(Waiting<Job> waiting, double queueS) {
-        JobSpec spec = waiting.spec();
-        if (!spec.isUrgent()) {
-            return false;
-        }
-        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
-        double leftS = deployment.objectives().slackS(spec, ageS, waiting.runS());
-        return leftS > 0 && queueS > leftS;
-    }
-
-    /** Whether no machine it may use is rented cheaply, nor can be: it would wait for ever. */
-    private boolean isStranded(JobSpec spec) {
-        for (Machine machine : roster.machines.values()) {
-            if (machine.spot() && machine.life != Life.RELEASED && spec.demand().fitsIn(machine.size)
-                    && spec.allows(machine.type(), machine.zone(), true)) {
-                return false;
-            }
-        }
-        for (MachineType type : types.values()) {
-            for (String zone : type.zones()) {
-                if (spec.allows(type.name(), zone, true) && spec.demand().fitsIn(type.size())
-                        && refusedUntil.getOrDefault(new Pool(type.name(), zone, true), 0L) <= loop.now()) {
-                    return false;
-                }
-            }
-        }
-        return true;
-    }
-
     /** Rents as many, one request after the other, each of as many as the cloud gives at once. */
     private void rent(Pool pool, int count) {
         rent(requestPrefix + ++lastRequest, pool, count, TRIES);
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -1,28 +1,19 @@
 package notchpick.coordination;
 
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import notchpick.bookkeeping.Binding;
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Roster;
-import notchpick.protocol.peer.Grant;
-import notchpick.protocol.peer.Placed;
-import notchpick.protocol.peer.Placements;
-import notchpick.protocol.peer.Room;
-import notchpick.protocol.peer.Want;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.JobOrder;
@@ -37,15 +28,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/**
- * The leader's side of sharing: ranks the teams, grants room to the lowest while its next task fits,
- * leases the room to the controller that holds the team's jobs, and takes placements back.
- */
+/** Shares room: ranks the teams, and grants room to the lowest while its next task fits. */
 final class Granting {
     private static final Logger LOG = LoggerFactory.getLogger(Granting.class);
-    /** Lease numbers carry the term above this many bits, so that they rise over all terms. */
-    private static final int LEASE_BITS = 24;
-
     /** So many report periods a job stays away from a machine on which a task of it failed. */
     private static final int SHUN_REPORTS = 20;
     /** How often tasks may be told to give way, in report periods. */
@@ -55,59 +40,29 @@
     private static final int URGENT = 1;
     private static final int PROMISED = 2;
     private static final int OTHERS = 3;
-    private static final BitSet NO_TASKS = new BitSet();
 
     private final EventLoop loop;
     private final Deployment deployment;
     private final Tuning tuning;
     private final Roster roster;
     private final Estimates estimates;
-    private final Peers peers;
-    private final long term;
+    private final RoomLeases leases;
     private final ToDoubleFunction<String> fetchGbPerS;
-    private final Consumer<Binding> bound;
-    private final Runnable changed;
-    private final BiConsumer<Long, Runnable> timer;
 
     private final Map<String, Amounts> commitments = new HashMap<>();
     private final Map<String, Amounts> overuse = new HashMap<>();
-    private final Map<Long, Leased> leases = new HashMap<>();
-    private final Map<String, Long> distrustedUntil = new HashMap<>();
     private long updatedAt;
-    private long lastLease;
     private long roomMadeAt;
 
-    /** Room that is leased to the holder of a team's jobs. */
-    private static final class Leased {
-        private final long number;
-        private final String team;
-        private final String holder;
-        private final Map<Machine, Amounts> room = new LinkedHashMap<>();
-        private final Map<Job, BitSet> tasks = new LinkedHashMap<>();
-
-        Leased(long number, String team, String holder) {
-            this.number = number;
-            this.team = team;
-            this.holder = holder;
-        }
-    }
-
-    /** @param bound hears of every task that has been placed; changed, that room is free again */
-    Granting(EventLoop loop, Deployment deployment, Tuning tuning, Roster roster, Estimates estimates, Peers peers,
-            long term, ToDoubleFunction<String> fetchGbPerS, Consumer<Binding> bound, Runnable changed,
-            BiConsumer<Long, Runnable> timer) {
+    Granting(EventLoop loop, Deployment deployment, Tuning tuning, Roster roster, Estimates estimates,
+            RoomLeases leases, ToDoubleFunction<String> fetchGbPerS) {
         this.loop = loop;
         this.deployment = deployment;
         this.tuning = tuning;
         this.roster = roster;
         this.estimates = estimates;
-        this.peers = peers;
-        this.term = term;
+        this.leases = leases;
         this.fetchGbPerS = fetchGbPerS;
-        this.bound = bound;
-        this.changed = changed;
-        this.timer = timer;
-        this.lastLease = term << LEASE_BITS;
         this.updatedAt = loop.now();
     }
 
@@ -115,6 +70,10 @@
         return commitments;
     }
 
+    private double reportMs() {
+        return deployment.reportS() * 1000;
+    }
+
     /** Equation 12 over the time since the last update, in which nothing changed. */
     private void updateCommitments(Set<String> present, Amounts total) {
         long now = loop.now();
@@ -135,7 +94,7 @@
             boolean urgent, String image) {
         static Shape of(Job job) {
             JobSpec spec = job.spec;
-            return constrained(spec) || job.hasFailed ? null : new Shape(spec.demand(), spec.types(), spec.zone(),
+            return spec.isConstrained() || job.hasFailed ? null : new Shape(spec.demand(), spec.types(), spec.zone(),
                     spec.spot(), job.mayUseOrdinary(), spec.isUrgent(), spec.image());
         }
     }
@@ -144,7 +103,7 @@
     private final class Turn {
         private final String team;
         private final List<Job> jobs;
-        private final Leased leased;
+        private final RoomLeases.Leased leased;
         private final Map<Job, Shape> shapes = new HashMap<>();
         /** Shapes that found no room; there won't be more of it during this round. */
         private final Set<Shape> missed = new HashSet<>();
@@ -152,7 +111,7 @@
         private final List<Job> skipped = new ArrayList<>();
         private Amounts held;
 
-        Turn(String team, List<Job> jobs, Leased leased) {
+        Turn(String team, List<Job> jobs, RoomLeases.Leased leased) {
             this.team = team;
             this.jobs = jobs;
             this.leased = leased;
@@ -199,13 +158,13 @@
             }
         }
         updateCommitments(present, total);
-        leases.values().forEach(leased -> waiting.remove(leased.team));
+        waiting.keySet().removeIf(leases::isLeasedTo);
         if (waiting.isEmpty()) {
             return;
         }
         List<Machine> usable = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
-            if (machine.room().cores() > Amounts.SLACK && usable(machine, now)) {
+            if (machine.room().cores() > Amounts.SLACK && machine.isUsable(now, reportMs())) {
                 usable.add(machine);
             }
         }
@@ -220,7 +179,7 @@
             List<Job> sorted = new ArrayList<>();
             JobOrder.sorted(order, loop.wallTime(), deployment.objectives(), coresOf(team, total, present.size()))
                     .forEach(w -> sorted.add(w.job()));
-            active.add(new Turn(team, sorted, new Leased(++lastLease, team, holder(team))));
+            active.add(new Turn(team, sorted, leases.open(team)));
         });
         List<Turn> turns = List.copyOf(active);
         Map<Machine, Turn> barred = new HashMap<>();
@@ -233,9 +192,9 @@
                 active.remove(turn);
             }
         }
-        turns.forEach(turn -> lease(turn.leased));
+        turns.forEach(turn -> leases.lease(turn.leased));
         // It looks at every task that runs, and who waits has waited for a report period anyway.
-        if (now - roomMadeAt >= deployment.reportS() * 1000 * MAKE_ROOM_RATIO) {
+        if (now - roomMadeAt >= reportMs() * MAKE_ROOM_RATIO) {
             roomMadeAt = now;
             makeRoom(turns, now);
         }
@@ -272,7 +231,7 @@
                 held = held.plus(job.spec.demand().times(owed));
                 boolean urgent = job.spec.isUrgent();
                 // Much room falls free by itself within a report period.
-                boolean waited = now - job.skippedSince >= deployment.reportS() * 1000;
+                boolean waited = now - job.skippedSince >= reportMs();
                 if (waited && (owed > 0 || urgent)) {
                     starved.add(new Starved(job.spec, urgent ? job.startable() : owed, owed > 0));
                 }
@@ -287,7 +246,7 @@
             for (Binding binding : machine.bindings.values()) {
                 if (binding.stopGraceS != null) {
                     freeing += binding.spec.demand().cores();
-                } else if (binding.mayBeMoved(now) && usable(machine, now)) {
+                } else if (binding.mayBeMoved(now) && machine.isUsable(now, reportMs())) {
                     victims.add(new Victim<>(binding, binding.spec, machine.type(), machine.zone(), machine.spot()));
                 }
             }
@@ -303,13 +262,6 @@
         return roster.use(team).cores() - (limit == null ? 0 : limit.guarantee().cores());
     }
 
-    boolean usable(Machine machine, long now) {
-        return machine.life == Machine.Life.UP && machine.settled && machine.noticeS == null
-                && machine.quarantinedUntil <= now
-                // A machine that has missed reports may be gone; what is started there would only wait.
-                && now - machine.reportedAt < deployment.reportS() * 1000 * 2;
-    }
-
     /** Grants room to the team's next task that fits; false if none does. */
     private boolean grantOne(Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         Deployment.Limit limit = deployment.limit(turn.team);
@@ -378,9 +330,9 @@
 
     private Machine choose(Job job, Turn turn, SiteIndex<Machine> open, Map<Machine, Turn> barred, long now) {
         // Not for ever: where machines are few, the only one that fits may have failed it once.
-        long shunMs = (long) (deployment.reportS() * 1000 * SHUN_REPORTS);
-        Map<String, Integer> zones = constrained(job.spec) ? zonesOf(job, turn.leased) : Map.of();
-        Predicate<Machine> admits = m -> zoneAllows(job.spec, zones, m.zone())
+        long shunMs = (long) (reportMs() * SHUN_REPORTS);
+        Map<String, Integer> zones = job.spec.isConstrained() ? zonesOf(job, turn.leased) : Map.of();
+        Predicate<Machine> admits = m -> job.spec.allowsAmongFellows(m.zone(), zones)
                 && (m.spot() || job.mayUseOrdinary())
                 && now - m.failedJobs.getOrDefault(job.spec.id(), now - shunMs) >= shunMs
                 && (barred.get(m) == null || barred.get(m) == turn);
@@ -391,7 +343,7 @@
     /** Orders ride in the answers to reports: when the next can be given on this machine. */
     private long answerInMs(Machine machine, long now) {
         return machine.awaitsAnswer ? 0
-                : Math.max(1, machine.reportedAt + (long) (deployment.reportS() * 1000) - now);
+                : Math.max(1, machine.reportedAt + (long) (reportMs()) - now);
     }
 
     private void grant(Turn turn, Job job, Machine machine, SiteIndex<Machine> open) {
@@ -408,8 +360,7 @@
         int task = job.pending.nextSetBit(0);
         job.pending.clear(task);
         job.leased.set(task);
-        turn.leased.room.merge(machine, demand, Amounts::plus);
-        turn.leased.tasks.computeIfAbsent(job, j -> new BitSet()).set(task);
+        turn.leased.add(machine, job, task);
         turn.held = turn.held.plus(demand);
     }
 
@@ -439,148 +390,12 @@
         return true;
     }
 
-    private static boolean constrained(JobSpec spec) {
-        return spec.oneZone() || spec.spread();
-    }
-
-    private Map<String, Integer> zonesOf(Job job, Leased leased) {
+    private Map<String, Integer> zonesOf(Job job, RoomLeases.Leased leased) {
         Map<String, Integer> zones = roster.zonesOf(job.spec.id());
-        if (leased != null && leased.tasks.containsKey(job)) {
+        if (leased != null && leased.holds(job)) {
             // While a round runs, where its tasks will go is not settled: count the room as taken.
-            leased.room.keySet().forEach(machine -> zones.merge(machine.zone(), 1, Integer::sum));
+            leased.machines().forEach(machine -> zones.merge(machine.zone(), 1, Integer::sum));
         }
         return zones;
     }
-
-    private static boolean zoneAllows(JobSpec spec, Map<String, Integer> zones, String zone) {
-        if (spec.oneZone() && !zones.isEmpty() && !zones.containsKey(zone)) {
-            return false;
-        }
-        return !spec.spread() || zones.getOrDefault(zone, 0) < spec.zoneLimit();
-    }
-
-    /** Teams are parted among the live controllers in turn, beginning with the leader. */
-    private String holder(String team) {
-        List<String> nodes = new ArrayList<>();
-        nodes.add(deployment.node());
-        for (String node : peers.live()) {
-            if (distrustedUntil.getOrDefault(node, 0L) <= loop.now()) {
-                nodes.add(node);
-            }
-        }
-        List<String> teams = deployment.teams().stream().map(Deployment.Limit::team).sorted().toList();
-        return nodes.get(Math.floorMod(teams.indexOf(team), nodes.size()));
-    }
-
-    private void lease(Leased leased) {
-        if (leased.tasks.isEmpty()) {
-            return;
-        }
-        leases.put(leased.number, leased);
-        Grant grant = grant(leased);
-        timer.accept(tuning.roomLeaseMs(), () -> lapse(leased));
-        if (leased.holder.equals(deployment.node())) {
-            returned(Placer.place(grant, leased.holder));
-            return;
-        }
-        peers.ask(leased.holder, grant, tuning.roomLeaseMs(), reply -> {
-            if (reply instanceof Placements placements) {
-                timer.accept(0L, () -> returned(placements));
-            }
-        });
-    }
-
-    private Grant grant(Leased leased) {
-        Set<String> images = new HashSet<>();
-        leased.tasks.keySet().forEach(job -> images.add(job.spec.image()));
-        List<Room> rooms = new ArrayList<>();
-        leased.room.forEach((machine, room) -> rooms.add(new Room(machine.name, machine.type(), machine.zone(),
-                machine.spot(), room.cores(), room.gpus(), room.ram(),
-                images.stream().filter(machine.images::contains).toList())));
-        List<Want> wants = new ArrayList<>();
-        leased.tasks.forEach((job, tasks) -> {
-            JobSpec spec = job.spec;
-            Map<String, Integer> zoneRoom = new HashMap<>();
-            if (spec.spread()) {
-                Map<String, Integer> taken = roster.zonesOf(spec.id());
-                deployment.zones().forEach(
-                        zone -> zoneRoom.put(zone, spec.zoneLimit() - taken.getOrDefault(zone, 0)));
-            }
-            String zone = spec.oneZone() ? leased.room.keySet().iterator().next().zone() : spec.zone();
-            wants.add(new Want(spec.id(), spec.demand().cores(), spec.demand().gpus(), spec.demand().ram(),
-                    spec.image(), spec.types(), zone, spec.spot(), zoneRoom,
-                    tasks.stream().boxed().toList()));
-        });
-        return new Grant(term, leased.number, leased.team, tuning.roomLeaseMs(), rooms, wants);
-    }
-
-    /** The holder did not answer in time: its lease is over, and others hold its teams for a while. */
-    private void lapse(Leased leased) {
-        if (leases.containsKey(leased.number)) {
-            LOG.info("room lease {} of {} lapsed at {}", leased.number, leased.team, leased.holder);
-            distrustedUntil.put(leased.holder, loop.now() + (long) (deployment.reportS() * 2000));
-            giveBack(leased);
-            changed.run();
-        }
-    }
-
-    private void giveBack(Leased leased) {
-        leases.remove(leased.number);
-        leased.room.forEach(Machine::unlease);
-        leased.tasks.forEach((job, tasks) -> tasks.stream().forEach(task -> {
-            job.leased.clear(task);
-            if (!job.done.get(task) && !job.bound.containsKey(task)) {
-                job.pending.set(task);
-            }
-        }));
-    }
-
-    /** Takes what a holder placed, as far as its lease is current and covers it. */
-    void returned(Placements placements) {
-        Leased leased = leases.get(placements.getLease());
-        if (leased == null || placements.getTerm() != term || !leased.holder.equals(placements.getNode())) {
-            LOG.info("placements of {} under lease {} are not entitled", placements.getNode(), placements.getLease());
-            return;
-        }
-        giveBack(leased);
-        Map<Machine, Amounts> left = new HashMap<>(leased.room);
-        long now = loop.now();
-        int accepted = 0;
-        for (Placed placed : placements.getPlaced()) {
-            Job job = roster.jobs.get(placed.getJob());
-            Machine machine = roster.machines.get(placed.getMachine());
-            int task = placed.getTask();
-            if (job == null || machine == null || !left.containsKey(machine)
-                    || !leased.tasks.getOrDefault(job, NO_TASKS).get(task)
-                    || !job.pending.get(task)
-                    || !job.spec.demand().fitsIn(left.get(machine))
-                    || !admissible(job, machine, now)) {
-                continue;
-            }
-            left.merge(machine, job.spec.demand(), Amounts::minus);
-            bound.accept(roster.bind(job.spec, task, machine, leased.number, Binding.Phase.PLANNED));
-            accepted++;
-        }
-        if (accepted < placements.getPlaced().size()) {
-            LOG.info("{} of {} placements refused", placements.getPlaced().size() - accepted,
-                    placements.getPlaced().size());
-        }
-        changed.run();
-    }
-
-    /** All that the rules ask of a start, at the moment of the decision. */
-    private boolean admissible(Job job, Machine machine, long now) {
-        Deployment.Limit limit = deployment.limit(job.spec.team());
-        return usable(machine, now)
-                && job.spec.demand().fitsIn(machine.room())
-                && job.spec.allows(machine.type(), machine.zone(), machine.spot())
-                && (!constrained(job.spec)
-                        || zoneAllows(job.spec, roster.zonesOf(job.spec.id()), machine.zone()))
-                && limit != null
-                && limit.allows(roster.use(job.spec.team()).plus(job.spec.demand()));
-    }
-
-    int outstanding() {
-        return leases.size();
-    }
 }
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -54,6 +54,7 @@
     private final Roster roster = new Roster(this::released);
     private final Estimates estimates = new Estimates();
     private final Ledger ledger;
+    private final RoomLeases leases;
     private final Granting granting;
     private final Fleet fleet;
     private final OpenJobs jobs;
@@ -90,8 +91,9 @@
                 0.7 * deployment.stateWriteRps(), () -> giveWay.accept("its key is not there any more"));
         this.fleet = new Fleet(loop, deployment, roster, estimates, cloud, ledger, term, this::gone, this::reviewFleet,
                 this::after);
-        this.granting = new Granting(loop, deployment, tuning, roster, estimates, peers, term,
-                fleet::fetchGbPerS, this::placed, this::roundSoon, this::after);
+        this.leases = new RoomLeases(loop, deployment, tuning, roster, peers, term, this::placed, this::roundSoon,
+                this::after);
+        this.granting = new Granting(loop, deployment, tuning, roster, estimates, leases, fleet::fetchGbPerS);
         this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, this::after, this::roundSoon,
                 this::answerHeld);
         this.starts = new Starts(loop, deployment, roster, ledger, fleet, this::answer);
@@ -251,7 +253,7 @@
 
     /** When nothing waits, half-empty machines whose tasks can save their progress are emptied. */
     private void consolidate(long now) {
-        if (granting.outstanding() > 0 || fleet.bootsAreLate()
+        if (leases.outstanding() > 0 || fleet.bootsAreLate()
                 || roster.jobs.values().stream().anyMatch(job -> job.waits() && !job.isDoubted())) {
             return;
         }
@@ -263,7 +265,7 @@
             if (machine.life == Life.LEAVING && !machine.bindings.isEmpty()) {
                 leaving++;
                 machine.bindings.values().forEach(binding -> moving.add(binding.spec));
-            } else if (granting.usable(machine, now)) {
+            } else if (machine.isUsable(now, deployment.reportS() * 1000)) {
                 free += machine.room().cores();
                 candidates.add(new Candidate<>(machine, movable(machine, now)));
             }
--- a/src/main/java/notchpick/scheduling/JobSpec.java
+++ b/src/main/java/notchpick/scheduling/JobSpec.java
@@ -1,6 +1,7 @@
 package notchpick.scheduling;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * What a user asked for, in the field's terms.
@@ -51,6 +52,19 @@
         return form == Form.SERVICE;
     }
 
+    /** Whether where a task may go depends on where its fellows are. */
+    public boolean isConstrained() {
+        return oneZone || spread;
+    }
+
+    /** @param fellows how many of the job's tasks are, or may be, in each zone */
+    public boolean allowsAmongFellows(String where, Map<String, Integer> fellows) {
+        if (oneZone && !fellows.isEmpty() && !fellows.containsKey(where)) {
+            return false;
+        }
+        return !spread || fellows.getOrDefault(where, 0) < zoneLimit();
+    }
+
     /** At most this many of the tasks may be in one zone. */
     public int zoneLimit() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/GrantingTest.java
@@ -50,8 +50,10 @@
             then.accept(Answer.NONE);
         }
     }, () -> pulse("n-0"), pulse -> { });
-    private final Granting granting = new Granting(loop, deployment, Tuning.DEFAULT, roster, new Estimates(), peers,
-            TERM, type -> 1, bound::add, () -> { }, loop::after);
+    private final RoomLeases leases = new RoomLeases(loop, deployment, Tuning.DEFAULT, roster, peers, TERM,
+            bound::add, () -> { }, loop::after);
+    private final Granting granting = new Granting(loop, deployment, Tuning.DEFAULT, roster, new Estimates(), leases,
+            type -> 1);
 
     private static Pulse pulse(String node) {
         return new Pulse(node, TERM, "n-0", true, 0, List.of());
@@ -85,7 +87,7 @@
         leaseToPeer(6);
         assertEquals(4, granted.getRooms().get(0).getCores());
         assertEquals(TERM, granted.getLease() >> 24);
-        granting.returned(placements("n-1", granted.getLease(), 0, 1, 2, 3));
+        leases.returned(placements("n-1", granted.getLease(), 0, 1, 2, 3));
         assertEquals(4, bound.size());
         assertTrue(bound.stream().allMatch(b -> b.attempt == granted.getLease()));
     }
@@ -93,9 +95,9 @@
     @Test
     void refusesAnybodyButTheHolder() {
         Job job = leaseToPeer(2);
-        granting.returned(placements("n-2", granted.getLease(), 0));
-        granting.returned(placements("n-1", granted.getLease() + 1, 0));
-        granting.returned(new Placements(TERM - 1, granted.getLease(), "n-1", placements("n-1", 0, 0).getPlaced()));
+        leases.returned(placements("n-2", granted.getLease(), 0));
+        leases.returned(placements("n-1", granted.getLease() + 1, 0));
+        leases.returned(new Placements(TERM - 1, granted.getLease(), "n-1", placements("n-1", 0, 0).getPlaced()));
         assertEquals(List.of(), bound);
         assertEquals(2, job.leased.cardinality());
     }
@@ -103,7 +105,7 @@
     @Test
     void refusesWhatTheLeaseDoesNotCover() {
         leaseToPeer(2);
-        granting.returned(placements("n-1", granted.getLease(), 0, 0, 5));
+        leases.returned(placements("n-1", granted.getLease(), 0, 0, 5));
         assertEquals(1, bound.size());
     }
 
@@ -112,7 +114,7 @@
         Job job = leaseToPeer(2);
         simulation.runUntil(10 + Tuning.DEFAULT.roomLeaseMs() + 1);
         assertEquals(2, job.pending.cardinality());
-        granting.returned(placements("n-1", granted.getLease(), 0));
+        leases.returned(placements("n-1", granted.getLease(), 0));
         assertEquals(List.of(), bound);
     }
 
