--- a/src/main/java/notchpick/scheduling/Objectives.java
+++ b/src/main/java/notchpick/scheduling/Objectives.java
@@ -24,9 +24,13 @@
             return switch (kind) {
                 case STARTED -> limit - ageS;
                 case FINISHED -> limit - ageS - runS;
-                case DEADLINE -> spec.deadlineS() == null ? -1 : limit * spec.deadlineS() - ageS - runS;
+                case DEADLINE -> limit * spec.deadlineS() - ageS - runS;
             };
         }
+
+        private boolean appliesTo(JobSpec spec) {
+            return kind != Kind.DEADLINE || spec.deadlineS() != null;
+        }
     }
 
     private List<Objective> of(JobSpec spec) {
@@ -36,7 +40,12 @@
 
     /** Whether something was promised of the job that can still be kept. */
     public boolean canBeKept(JobSpec spec, double ageS, double runS) {
-        return !of(spec).isEmpty() && slackS(spec, ageS, runS) >= 0;
+        for (Objective objective : of(spec)) {
+            if (objective.appliesTo(spec) && objective.slackS(spec, ageS, runS) >= 0) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -50,6 +59,9 @@
         double nearest = Double.POSITIVE_INFINITY;
         double last = Double.NEGATIVE_INFINITY;
         for (Objective objective : of(spec)) {
+            if (!objective.appliesTo(spec)) {
+                continue;
+            }
             double slackS = objective.slackS(spec, ageS, runS);
             last = Math.max(last, slackS);
             nearest = slackS >= 0 ? Math.min(nearest, slackS) : nearest;
--- a/src/test/java/notchpick/scheduling/ObjectivesTest.java
+++ b/src/test/java/notchpick/scheduling/ObjectivesTest.java
@@ -1,6 +1,7 @@
 package notchpick.scheduling;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -39,6 +40,13 @@
         assertEquals(30, OBJECTIVES.slackS(job("other", 100.0), 30, 40));
     }
 
+    @Test
+    void aJobWithoutADeadlineHasNoneToKeep() {
+        assertEquals(260, OBJECTIVES.slackS(job("credit", null), 100, 40));
+        assertFalse(OBJECTIVES.canBeKept(job("credit", null), 100, 40));
+        assertTrue(OBJECTIVES.canBeKept(job("credit", 100.0), 100, 40));
+    }
+
     @Test
     void withoutAnyPromiseRunTimesCount() {
         assertEquals(260, OBJECTIVES.slackS(job("other", null), 100, 40));
