--- a/src/main/java/notchpick/coordination/Boots.java
+++ b/src/main/java/notchpick/coordination/Boots.java
@@ -84,7 +84,8 @@
         if (!awaited.isEmpty()) {
             awaited.sort(Comparator.comparingLong(machine -> machine.knownSince));
             late.put(pool, now - awaited.get(0).knownSince);
-            if (now - replacedAt.getOrDefault(pool, 0L) >= OVERDUE_BOOTS * nominalMs.applyAsDouble(pool.type())) {
+            Long last = replacedAt.get(pool);
+            if (last == null || now - last >= OVERDUE_BOOTS * nominalMs.applyAsDouble(pool.type())) {
                 replacedAt.put(pool, now);
                 faulty.addAll(awaited.subList(0, (int) Math.ceil(awaited.size() * REPLACED_PART)));
             }
