--- a/src/main/java/notchpick/coordination/Reports.java
+++ b/src/main/java/notchpick/coordination/Reports.java
@@ -37,8 +37,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
     /** A report's answer waits this long for what the report made possible, as a part of its period. */
     private static final double HOLD_RATIO = 0.1;
-    /** That of a worker without tasks this long: orders reach it at once meanwhile. */
-    private static final double HOLD_FREE_RATIO = 0.5;
     /** So many jobs must have failed on a machine for it to be at fault. */
     private static final int JOBS_TO_BLAME = 2;
     /** A failure counts against its machine for so many report periods. */
@@ -59,7 +57,7 @@
     private final Map<Machine, Held> held = new LinkedHashMap<>();
 
     /** A report whose answer is still to be given, and how many rounds had begun when it came. */
-    private record Held(Consumer<Answer> reply, List<TaskReport> tasks, long rounds, long until) {}
+    private record Held(Consumer<Answer> reply, List<TaskReport> tasks, long rounds) {}
 
     /**
      * @param mayOrder whether the claim to lead still stands
@@ -116,15 +114,12 @@
             LOG.info("machine {} is up after {} s", machine.name, (now - machine.knownSince) / 1000);
         }
         boolean changed = reconcile(machine, report, now);
-        long holdMs = holdMs(machine, changed);
-        if (changed) {
-            news.run();
-        }
-        Held open = new Held(reply, report.tasks(), rounds.getAsLong(), now + holdMs);
+        Held open = new Held(reply, report.tasks(), rounds.getAsLong());
         held.put(machine, open);
         machine.awaitsAnswer = true;
-        if (holdMs > 0) {
-            timer.accept(holdMs, () -> {
+        if (changed) {
+            news.run();
+            timer.accept((long) (deployment.reportS() * 1000 * HOLD_RATIO), () -> {
                 if (held.get(machine) == open) {
                     answer(machine);
                 }
@@ -134,13 +129,6 @@
         }
     }
 
-    /** How long the answer may wait for an order that could ride in it. */
-    private long holdMs(Machine machine, boolean changed) {
-        // Its worker has nothing to tell meanwhile; a report of a task's end would have to wait.
-        boolean isFree = machine.isIdle() && machine.life == Life.UP && machine.settled && machine.noticeS == null;
-        return (long) (reportMs() * (isFree ? HOLD_FREE_RATIO : changed ? HOLD_RATIO : 0));
-    }
-
     /** Brings the machine's bindings in line with its report; true if something ended or is new. */
     private boolean reconcile(Machine machine, Report report, long now) {
         boolean changed = !machine.everReported;
@@ -341,8 +329,7 @@
     }
 
     private boolean awaits(Machine machine, Held open) {
-        if (machine.isLeased() || open.rounds() == rounds.getAsLong()
-                || machine.bindings.isEmpty() && open.tasks().isEmpty() && loop.now() < open.until()) {
+        if (machine.isLeased() || open.rounds() == rounds.getAsLong()) {
             return true;
         }
         for (Binding binding : machine.bindings.values()) {
