--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -99,6 +99,7 @@
         String first = words.length > 3 ? words[3] : "";
         switch (verb) {
             case "submit" -> submit(world, first, options(words, 4));
+            case "try" -> world.send(first, Json.bytes(submission(first, options(words, 4))));
             case "burst" -> {
                 for (int i = 0; i < Integer.parseInt(words[4]); i++) {
                     submit(world, first + (100 + i), options(words, 5));
@@ -181,7 +182,9 @@
                 .put("cores", Double.parseDouble(options.getOrDefault("cores", "1")))
                 .put("gpus", Double.parseDouble(options.getOrDefault("gpus", "0")))
                 .put("ramGb", Double.parseDouble(options.getOrDefault("ram", "1")))
-                .put("bundle", options.getOrDefault("image", "img-1"))
+                .put("bundle", options.containsKey("image-length")
+                        ? "i".repeat(Integer.parseInt(options.get("image-length")))
+                        : options.getOrDefault("image", "img-1"))
                 .put("sizeGb", 1.0)
                 .put("site", options.get("zone"))
                 .put("oneZone", options.containsKey("one-zone"))
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -232,7 +232,7 @@
         return nodes.get(0);
     }
 
-    /** Sends a body of whatever kind once and notes the status. */
+    /** Sends a submission once, right or wrong, and notes the status. */
     public void send(String job, byte[] body) {
         call("POST", "/submissions", body, answer -> lastStatus.put(job, answer.status()));
     }
