--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -1,5 +1,6 @@
 package notchpick.app;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -204,7 +205,11 @@
         cloud.types(here(known -> {
             if (known != null) {
                 typesKnown(known);
-                state.commit(new StateApi.Transaction().put(Records.TYPES, CloudApi.typesJson(known)), result -> { });
+                JsonNode kept = CloudApi.typesJson(known);
+                // Half a list would tell users that their jobs fit nothing.
+                if (Json.bytes(kept).length <= deployment.valueBytes()) {
+                    state.commit(new StateApi.Transaction().put(Records.TYPES, kept), result -> { });
+                }
             }
             after(types == null ? RETRY_MS : againMs, this::learnTypes);
         }));
--- a/src/main/java/notchpick/app/Settings.java
+++ b/src/main/java/notchpick/app/Settings.java
@@ -23,6 +23,9 @@
 public final class Settings {
     private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
 
+    /** A job's end is two changes that belong together. */
+    private static final int LEAST_TXN_OPS = 2;
+
     private Settings() {}
 
     /** Settings that can't be used; the message is one line that names the field. */
@@ -84,10 +87,10 @@
                 positive(workers, "deployment.workers.", "report_s"),
                 positive(workers, "deployment.workers.", "lease_s"),
                 positive(workers, "deployment.workers.", "cancel_s"),
-                positive(state, "deployment.state.", "rps"),
-                positive(state, "deployment.state.", "write_rps"),
-                (int) (positive(state, "deployment.state.", "value_kb") * 1024),
-                (int) positive(state, "deployment.state.", "txn_ops"),
+                lasting(state, "rps"),
+                lasting(state, "write_rps"),
+                (int) (lasting(state, "value_kb") * 1024),
+                transactionOps(state),
                 positive(cloud, "deployment.cloud.", "rps"),
                 positive(cloud, "deployment.cloud.", "list_lag_s"),
                 (int) positive(limits, "deployment.machine_limits.", "fd_limit"));
@@ -144,6 +147,27 @@
         return node.asDouble();
     }
 
+    /**
+     * The smaller of a limit's value now and from some moment on. Nobody says when that is: to stay below both
+     * all along spares noticing, and costs nothing that could be measured.
+     */
+    private static double lasting(JsonNode state, String field) throws Unusable {
+        double now = positive(state, "deployment.state.", field);
+        if (!state.has("next")) {
+            return now;
+        }
+        JsonNode next = node(state, "deployment.state.", "next");
+        return next.has(field) ? Math.min(now, positive(next, "deployment.state.next.", field)) : now;
+    }
+
+    private static int transactionOps(JsonNode state) throws Unusable {
+        double ops = lasting(state, "txn_ops");
+        if (ops < LEAST_TXN_OPS) {
+            throw new Unusable("settings: deployment.state.txn_ops must be at least " + LEAST_TXN_OPS);
+        }
+        return (int) ops;
+    }
+
     private static double optional(JsonNode parent, String field) {
         return parent.path(field).asDouble(0);
     }
--- a/src/main/java/notchpick/bookkeeping/Binding.java
+++ b/src/main/java/notchpick/bookkeeping/Binding.java
@@ -21,7 +21,8 @@
     /** Users count a start only if the task is then left alone for half a minute. */
     private static final long LEFT_ALONE_MS = 35_000;
 
-    public final JobSpec spec;
+    /** As its job's; see {@link Roster#respec}. */
+    public JobSpec spec;
     public final int task;
     public final Machine machine;
     private final String taskName;
--- a/src/main/java/notchpick/bookkeeping/Job.java
+++ b/src/main/java/notchpick/bookkeeping/Job.java
@@ -16,7 +16,8 @@
     /** The pause between trials doubles up to this many report periods. */
     private static final int LONGEST_PAUSE = 16;
 
-    public final JobSpec spec;
+    /** What its user asked for, with what it has taken over from the jobs that need it. */
+    public JobSpec spec;
     /** Version of its description, which is deleted when the job ends. */
     public final long version;
     public final BitSet done;
@@ -39,6 +40,8 @@
     /** Since when others have gone first where its image was missing; 0: not at all. */
     public long deferredSince;
     public int running;
+    /** Whether it still needs other jobs to be done: then it is there for its users alone. */
+    public boolean held;
     /** Whether it would be late on cheap machines alone. */
     public boolean pressed;
 
@@ -98,7 +101,7 @@
     }
 
     public boolean waits() {
-        return !pending.isEmpty() && (!isDoubted() || startable() > 0);
+        return !held && !pending.isEmpty() && (!isDoubted() || startable() > 0);
     }
 
     public void bind(int task) {
--- a/src/main/java/notchpick/bookkeeping/Ledger.java
+++ b/src/main/java/notchpick/bookkeeping/Ledger.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import notchpick.protocol.StateApi;
@@ -14,9 +16,12 @@
 import notchpick.protocol.StateApi.Entry;
 import notchpick.protocol.StateApi.Missing;
 import notchpick.protocol.StateApi.Ok;
+import notchpick.protocol.StateApi.Refused;
 import notchpick.protocol.StateApi.Result;
 import notchpick.protocol.StateApi.Transaction;
 import notchpick.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The leader's writes. Every transaction is guarded on the leadership key, and every key in it on
@@ -24,7 +29,11 @@
  * applied after all. One transaction is on its way at a time; changes gather meanwhile.
  */
 public final class Ledger {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
     private static final long RETRY_MS = 200;
+    /** What was refused for good alone is tried again only now and then. */
+    private static final long REFUSED_MS = 10_000;
+    private static final int MALFORMED = 400;
     /** A transaction may hold 64 KiB in all; keys and conditions take some of it. */
     private static final int MAX_BYTES = 58 << 10;
 
@@ -37,12 +46,23 @@
     private final Runnable deposed;
     private final Map<String, Long> versions = new HashMap<>();
     private final Map<String, Change> waiting = new LinkedHashMap<>();
+    /** Changes of a batch that was refused for good: each goes alone, until the one at fault is found. */
+    private final Set<String> suspects = new HashSet<>();
     private boolean busy;
     private double budget;
     private long budgetAt;
 
-    /** What a change comes to when its turn has come. */
-    public record Prepared(List<Write> writes, Runnable durable, Runnable overtaken) {}
+    /**
+     * What a change comes to when its turn has come.
+     *
+     * @param overtaken hears that a key which must have a certain version has another
+     * @param refused hears that the state service will never take this, before it is tried again
+     */
+    public record Prepared(List<Write> writes, Runnable durable, Runnable overtaken, Runnable refused) {
+        public Prepared(List<Write> writes, Runnable durable, Runnable overtaken) {
+            this(writes, durable, overtaken, () -> { });
+        }
+    }
 
     /**
      * A change of one key.
@@ -132,11 +152,13 @@
             Map.Entry<String, Change> item = items.next();
             Prepared prepared = item.getValue().prepare();
             if (prepared == null) {
+                suspects.remove(item.getKey());
                 items.remove();
                 continue;
             }
             int more = prepared.writes().stream().mapToInt(Write::bytes).sum();
-            if (writes > 0 && (writes + prepared.writes().size() > maxWrites || bytes + more > MAX_BYTES)) {
+            boolean suspect = suspects.contains(item.getKey());
+            if (writes > 0 && (suspect || writes + prepared.writes().size() > maxWrites || bytes + more > MAX_BYTES)) {
                 break;
             }
             items.remove();
@@ -153,6 +175,9 @@
                     transaction.put(write.key(), write.value());
                 }
             }
+            if (suspect) {
+                break;
+            }
         }
         if (batch.isEmpty()) {
             busy = false;
@@ -181,10 +206,17 @@
                     }
                 }
             }
-            batch.forEach(sent -> sent.prepared().durable().run());
+            batch.forEach(sent -> {
+                suspects.remove(sent.name());
+                sent.prepared().durable().run();
+            });
             flush();
             return;
         }
+        if (result instanceof Refused<Long> refused && refused.status() == MALFORMED) {
+            refused(batch);
+            return;
+        }
         List<String> stale = result instanceof Conflict<Long> conflict ? conflict.keys() : List.of();
         if (stale.contains(Records.LEADER)) {
             deposed.run();
@@ -215,6 +247,31 @@
         }
     }
 
+    /**
+     * A value or a transaction that the state service does not take would be refused again and again, and all else
+     * with it: each change goes alone then, and the one at fault waits.
+     */
+    private void refused(List<Sent> batch) {
+        if (batch.size() == 1) {
+            Sent sent = batch.get(0);
+            suspects.remove(sent.name());
+            List<String> keys = sent.prepared().writes().stream().map(Write::key).toList();
+            LOG.error("the state service will not take the write of {}; the others go on", keys);
+            sent.prepared().refused().run();
+            timer.accept(REFUSED_MS, () -> {
+                if (!waiting.containsKey(sent.name())) {
+                    write(sent.name(), sent.change());
+                }
+            });
+        } else {
+            for (Sent sent : batch) {
+                suspects.add(sent.name());
+                waiting.putIfAbsent(sent.name(), sent.change());
+            }
+        }
+        timer.accept(RETRY_MS, this::flush);
+    }
+
     private void reread(List<String> keys, int index) {
         if (index == keys.size()) {
             flush();
--- a/src/main/java/notchpick/bookkeeping/Records.java
+++ b/src/main/java/notchpick/bookkeeping/Records.java
@@ -7,6 +7,7 @@
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.Sdrf;
 
 /** Keys and values under which the controllers keep things in the state service. */
 public final class Records {
@@ -39,16 +41,36 @@
     /** How a job stands; the last two are for good. */
     public enum Fate { OPEN, DONE, CANCELLED }
 
-    public record JobRecord(Fate fate, int tasks, int done) {}
+    /**
+     * How a job stands.
+     *
+     * @param endedAt time of day of its end, in milliseconds; 0 where an earlier version wrote it: what names such
+     *         a job was submitted after its end
+     */
+    public record JobRecord(Fate fate, int tasks, int done, long endedAt, boolean service) {
+        public static JobRecord open(JobSpec spec) {
+            return new JobRecord(Fate.OPEN, spec.tasks(), 0, 0, spec.isService());
+        }
+
+        public static JobRecord done(JobSpec spec, long at) {
+            return new JobRecord(Fate.DONE, spec.tasks(), spec.tasks(), at, spec.isService());
+        }
+
+        public JobRecord cancelled(long at) {
+            return new JobRecord(Fate.CANCELLED, tasks, 0, at, service);
+        }
+    }
 
     public static ObjectNode job(JobRecord record) {
-        return Json.object().put("state", record.fate().name().toLowerCase()).put("tasks", record.tasks())
-                .put("done", record.done());
+        ObjectNode node = Json.object().put("state", record.fate().name().toLowerCase()).put("tasks", record.tasks())
+                .put("done", record.done()).put("endedAt", record.endedAt());
+        return record.service() ? node.put("service", true) : node;
     }
 
     public static JobRecord job(JsonNode value) {
         Fate fate = value.path("state").asText().equals("done") ? Fate.DONE : Fate.CANCELLED;
-        return new JobRecord(fate, value.path("tasks").asInt(), value.path("done").asInt());
+        return new JobRecord(fate, value.path("tasks").asInt(), value.path("done").asInt(),
+                value.path("endedAt").asLong(), value.path("service").asBoolean());
     }
 
     public static ObjectNode spec(JobSpec spec) {
@@ -76,6 +98,10 @@
             ArrayNode types = node.putArray("types");
             spec.types().forEach(types::add);
         }
+        if (!spec.needs().isEmpty()) {
+            ArrayNode needs = node.putArray("needs");
+            spec.needs().forEach(needs::add);
+        }
         return node;
     }
 
@@ -86,6 +112,9 @@
         for (String type : spec.types() == null ? List.<String>of() : spec.types()) {
             text += Json.textBytes(type) + 1;
         }
+        for (String need : spec.needs()) {
+            text += Json.textBytes(need) + 1;
+        }
         return text + SPEC_FRAME_BYTES;
     }
 
@@ -93,13 +122,7 @@
     private static final int SPEC_FRAME_BYTES = 600;
 
     public static JobSpec spec(String id, JsonNode node) {
-        List<String> types = null;
-        if (node.path("types").isArray()) {
-            types = new ArrayList<>();
-            for (JsonNode type : node.path("types")) {
-                types.add(type.asText());
-            }
-        }
+        List<String> types = node.path("types").isArray() ? texts(node.path("types")) : null;
         return new JobSpec(
                 id,
                 node.path("class").asText(),
@@ -119,9 +142,17 @@
                 node.path("checkpointS").asDouble(),
                 node.path("saveS").asDouble(),
                 node.path("deadlineS").isNumber() ? node.path("deadlineS").asDouble() : null,
+                node.path("submittedAt").asLong(),
+                texts(node.path("needs")),
                 node.path("submittedAt").asLong());
     }
 
+    private static List<String> texts(JsonNode list) {
+        List<String> texts = new ArrayList<>();
+        list.forEach(text -> texts.add(text.asText()));
+        return texts;
+    }
+
     private static Amounts amounts(JsonNode node) {
         return new Amounts(node.path("cores").asDouble(), node.path("gpus").asDouble(), node.path("ram").asDouble());
     }
@@ -223,19 +254,36 @@
         return node;
     }
 
+    /** As many bytes as a machine takes among {@link #released} at the most. */
+    public static int releasedBytes(Machine machine) {
+        return Json.textBytes(machine.name) + 1;
+    }
+
     public static List<String> released(JsonNode node) {
-        List<String> names = new ArrayList<>();
-        node.path("machines").forEach(name -> names.add(name.asText()));
-        return names;
+        return texts(node.path("machines"));
     }
 
-    public static ObjectNode commitments(Map<String, Amounts> commitments) {
+    /** The commitments, the largest first and as many as the value may hold: the others weigh least. */
+    public static ObjectNode commitments(Map<String, Amounts> commitments, int mostBytes) {
+        List<String> teams = new ArrayList<>(commitments.keySet());
+        teams.sort(Comparator.comparingDouble(team -> -Sdrf.largest(commitments.get(team))));
         ObjectNode node = Json.object();
-        commitments.forEach((team, amounts) -> node.putObject(team)
-                .put("cores", amounts.cores()).put("gpus", amounts.gpus()).put("ram", amounts.ram()));
+        int left = mostBytes - 2;
+        for (String team : teams) {
+            Amounts amounts = commitments.get(team);
+            left -= Json.textBytes(team) + COMMITMENT_BYTES;
+            if (left < 0) {
+                break;
+            }
+            node.putObject(team)
+                    .put("cores", amounts.cores()).put("gpus", amounts.gpus()).put("ram", amounts.ram());
+        }
         return node;
     }
 
+    /** Field names of one commitment, and three numbers. */
+    private static final int COMMITMENT_BYTES = 112;
+
     public static Map<String, Amounts> commitments(JsonNode node) {
         Map<String, Amounts> commitments = new HashMap<>();
         node.fields().forEachRemaining(field -> commitments.put(field.getKey(), amounts(field.getValue())));
--- a/src/main/java/notchpick/bookkeeping/Roster.java
+++ b/src/main/java/notchpick/bookkeeping/Roster.java
@@ -43,6 +43,12 @@
         return binding;
     }
 
+    /** The job, and what runs of it, counts as this from now on; what it demands stays as it is. */
+    public void respec(Job job, JobSpec spec) {
+        job.spec = spec;
+        byJob.getOrDefault(spec.id(), Set.of()).forEach(binding -> binding.spec = spec);
+    }
+
     /** The task surely is not on the machine any more. */
     public void unbind(Binding binding) {
         if (!binding.machine.bindings.remove(binding.taskName(), binding)) {
--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +21,8 @@
  * along: the service's write rate is far below the rate at which tasks start and end.
  *
  * <p>A unit that is over leaves its value at the value's next write; until then a reader finds more
- * than there is, never less.
+ * than there is, never less. The same holds where a value is longer than it may be now, since another version
+ * wrote it, or the limit has fallen: it stays as it is until enough of it is over, or stands elsewhere durably.
  */
 public final class SharedValues<U> {
     /**
@@ -52,21 +54,41 @@
     private final Consumer<List<U>> durable;
     private final Map<Integer, Slot<U>> slots = new TreeMap<>();
     private final Map<U, Slot<U>> slotOf = new HashMap<>();
+    /** Values in which a unit stands too that has moved, and is not durable where it is now. */
+    private final Map<U, Set<Slot<U>>> leftBehind = new HashMap<>();
 
     private static final class Slot<U> {
         private final String key;
         private final Set<U> units = new LinkedHashSet<>();
+        /** Units that have moved away: until they are durable elsewhere they must stand here. */
+        private final Set<U> awaited = new HashSet<>();
+        private int limit;
         private int bytes;
         private int staleBytes;
         private long changes;
         private long saved;
 
-        Slot(String key) {
+        Slot(String key, int limit) {
             this.key = key;
+            this.limit = limit;
         }
 
-        private boolean isDirty() {
-            return changes > saved;
+        private boolean isTooLong() {
+            return bytes > limit;
+        }
+
+        private boolean isDue() {
+            return changes > saved && !isTooLong() && awaited.isEmpty();
+        }
+
+        private boolean hasRoomFor(int more) {
+            return awaited.isEmpty() && bytes + more <= limit;
+        }
+
+        private void remove(U unit, int size) {
+            units.remove(unit);
+            bytes -= size;
+            staleBytes += size;
         }
     }
 
@@ -89,37 +111,65 @@
 
     /** Notes a value that has been read, with those of its units that still matter. */
     public void loaded(String key, Collection<U> units) {
-        Slot<U> slot = slots.computeIfAbsent(Integer.parseInt(key.substring(prefix.length())), n -> new Slot<>(key));
-        units.forEach(unit -> {
-            slot.units.add(unit);
-            slot.bytes += form.bytes().applyAsInt(unit);
-            slotOf.put(unit, slot);
-        });
+        Slot<U> slot = slots.computeIfAbsent(Integer.parseInt(key.substring(prefix.length())),
+                n -> new Slot<>(key, limit));
+        for (U unit : units) {
+            int bytes = form.bytes().applyAsInt(unit);
+            Slot<U> other = slotOf.putIfAbsent(unit, slot);
+            if (other == null) {
+                slot.units.add(unit);
+                slot.bytes += bytes;
+            } else if (other != slot) {
+                // Its newest state may stand in either.
+                slot.staleBytes += bytes;
+                awaitElsewhere(unit, slot);
+                save(unit);
+            }
+        }
     }
 
     /** Writes the unit as soon as may be, as it then is. */
     public void save(U unit) {
-        Slot<U> slot = slotOf.computeIfAbsent(unit, this::place);
+        Slot<U> slot = slotOf.get(unit);
+        if (slot != null && slot.isTooLong()) {
+            slot.remove(unit, form.bytes().applyAsInt(unit));
+            awaitElsewhere(unit, slot);
+            slot = null;
+        }
+        if (slot == null) {
+            slot = place(unit);
+            slotOf.put(unit, slot);
+        }
         slot.changes++;
         ledger.write(prefix, this::prepare);
     }
 
+    private void awaitElsewhere(U unit, Slot<U> slot) {
+        slot.awaited.add(unit);
+        leftBehind.computeIfAbsent(unit, u -> new HashSet<>()).add(slot);
+    }
+
+    private void awaitNoMore(U unit) {
+        Set<Slot<U>> former = leftBehind.remove(unit);
+        if (former != null) {
+            former.forEach(slot -> slot.awaited.remove(unit));
+        }
+    }
+
     /** The unit is over. */
     public void drop(U unit) {
         Slot<U> slot = slotOf.remove(unit);
         if (slot != null) {
-            int bytes = form.bytes().applyAsInt(unit);
-            slot.units.remove(unit);
-            slot.bytes -= bytes;
-            slot.staleBytes += bytes;
+            slot.remove(unit, form.bytes().applyAsInt(unit));
         }
+        awaitNoMore(unit);
     }
 
     /** Writes the value anew that holds most of what is over. */
     public void tidy() {
         Slot<U> stalest = null;
         for (Slot<U> slot : slots.values()) {
-            if (slot.staleBytes > 0 && (stalest == null || slot.staleBytes > stalest.staleBytes)) {
+            if (slot.staleBytes > 0 && slot.hasRoomFor(0) && (stalest == null || slot.staleBytes > stalest.staleBytes)) {
                 stalest = slot;
             }
         }
@@ -133,16 +183,16 @@
         int bytes = form.bytes().applyAsInt(unit);
         Slot<U> best = null;
         for (Slot<U> slot : slots.values()) {
-            if (slot.bytes + bytes <= limit && (best == null || isBetter(slot, best))) {
+            if (slot.hasRoomFor(bytes) && (best == null || isBetter(slot, best))) {
                 best = slot;
             }
         }
-        if (best == null || fill == Fill.EMPTIEST && !best.isDirty() && best.bytes > limit / 2) {
+        if (best == null || fill == Fill.EMPTIEST && !best.isDue() && best.bytes > limit / 2) {
             int number = 0;
             while (slots.containsKey(number)) {
                 number++;
             }
-            best = new Slot<>(prefix + number);
+            best = new Slot<>(prefix + number, limit);
             slots.put(number, best);
         }
         best.units.add(unit);
@@ -155,7 +205,7 @@
             return slot.bytes > than.bytes;
         }
         // What is to be written anyway takes more units along at no cost.
-        return slot.isDirty() != than.isDirty() ? slot.isDirty() : slot.bytes < than.bytes;
+        return slot.isDue() != than.isDue() ? slot.isDue() : slot.bytes < than.bytes;
     }
 
     private Prepared prepare() {
@@ -164,7 +214,7 @@
         Map<Slot<U>, Long> written = new HashMap<>();
         int bytes = 0;
         for (Slot<U> slot : slots.values()) {
-            if (!slot.isDirty()) {
+            if (!slot.isDue()) {
                 continue;
             }
             if (!writes.isEmpty() && (writes.size() == maxWrites || bytes + slot.bytes > TRANSACTION_BYTES)) {
@@ -181,10 +231,20 @@
         }
         return new Prepared(writes, () -> {
             written.forEach((slot, changes) -> slot.saved = changes);
+            units.forEach(this::awaitNoMore);
             durable.accept(units);
-            if (slots.values().stream().anyMatch(Slot::isDirty)) {
+            if (slots.values().stream().anyMatch(Slot::isDue)) {
                 ledger.write(prefix, this::prepare);
             }
-        }, () -> { });
+        }, () -> { }, () -> written.keySet().forEach(this::refused));
+    }
+
+    /** Whatever the settings say, the service does not take the value: half of it goes elsewhere. */
+    private void refused(Slot<U> slot) {
+        slot.limit = slot.bytes / 2;
+        List<U> units = new ArrayList<>(slot.units);
+        for (U unit : units.subList((units.size() + 1) / 2, units.size())) {
+            save(unit);
+        }
     }
 }
--- a/src/main/java/notchpick/coordination/Acceptances.java
+++ b/src/main/java/notchpick/coordination/Acceptances.java
@@ -25,6 +25,7 @@
     enum Outcome { ACCEPTED, KNOWN, REFUSED }
 
     private static final int TOO_MANY = 429;
+    private static final int MALFORMED = 400;
     private static final int MOST_ON_THEIR_WAY = 4;
     /** A transaction may hold 64 KiB in all; keys and conditions take some of it. */
     private static final int MAX_BYTES = 48 << 10;
@@ -107,6 +108,11 @@
             int half = batch.size() / 2;
             again(batch.subList(0, half));
             tell(batch.subList(half, batch.size()), Outcome.REFUSED);
+        } else if (result instanceof Refused<Long> refused && refused.status() == MALFORMED && batch.size() > 1) {
+            // One of them the service will never take: the others must not share its fate.
+            onTheirWay++;
+            send(batch.subList(0, 1));
+            again(batch.subList(1, batch.size()));
         } else if (result instanceof Ok<Long>) {
             again(List.of());
             tell(batch, Outcome.ACCEPTED);
--- a/src/main/java/notchpick/coordination/Demand.java
+++ b/src/main/java/notchpick/coordination/Demand.java
@@ -46,6 +46,9 @@
     List<Need> needs() {
         List<Waiting<Job>> order = new ArrayList<>();
         for (Job job : roster.jobs.values()) {
+            if (job.held) {
+                continue;
+            }
             double runS = estimates.runS(job.spec);
             order.add(new Waiting<>(job, job.spec, job.wanted() * runS * job.spec.demand().cores(), runS));
         }
@@ -85,7 +88,7 @@
         if (!spec.isUrgent()) {
             return false;
         }
-        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
+        double ageS = spec.ageS(loop.wallTime());
         double bootS = types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
         // What a machine rented now could still bring in time.
         double slackS = deployment.objectives().slackS(spec, ageS + bootS, waiting.runS());
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -35,8 +35,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
 
     private static final int TRIES = 3;
-    /** No machine's name takes more than this, quotes and comma included. */
-    private static final int MOST_NAME_BYTES = 64;
+    /** What surrounds the names of released machines takes no more than this. */
+    private static final int RELEASED_FRAME_BYTES = 64;
 
     private final EventLoop loop;
     private final Deployment deployment;
@@ -93,6 +93,13 @@
         return known == null ? 0 : known.fetchGbPerS();
     }
 
+    /** How long an image of this size takes on the slowest type. */
+    double fetchS(double imageGb) {
+        double slowest = types.values().stream().mapToDouble(MachineType::fetchGbPerS).filter(rate -> rate > 0).min()
+                .orElse(Double.POSITIVE_INFINITY);
+        return imageGb / slowest;
+    }
+
     private double bootMs(String type) {
         MachineType known = types.get(type);
         return known == null ? 60_000 : known.bootS() * 1000;
@@ -240,18 +247,30 @@
         return silent > 3 && silent * 2 > up;
     }
 
-    /** Names all whose release may have been asked, and of the others that shall go as many as one value takes. */
+    /**
+     * Names all whose release may have been asked, and of the others that shall go as many as one value takes. A
+     * list that is too long already, by another version's limit, stays until enough are confirmed.
+     */
     private Prepared saveReleased() {
         List<Machine> names = new ArrayList<>();
-        int most = deployment.valueBytes() / MOST_NAME_BYTES;
+        int bytes = 0;
+        boolean more = false;
         for (boolean durable : new boolean[] {true, false}) {
             for (Machine machine : roster.machines.values()) {
-                if (machine.life == Life.RELEASED && machine.releaseDurable == durable && names.size() < most) {
-                    names.add(machine);
+                if (machine.life == Life.RELEASED && machine.releaseDurable == durable) {
+                    int size = Records.releasedBytes(machine);
+                    if (durable || bytes + size <= deployment.valueBytes() - RELEASED_FRAME_BYTES) {
+                        names.add(machine);
+                        bytes += size;
+                        more |= !durable;
+                    }
                 }
             }
         }
-        Write write = Write.put(Records.RELEASED, Records.released(names)).bytes(names.size() * MOST_NAME_BYTES);
+        if (!more) {
+            return null;
+        }
+        Write write = Write.put(Records.RELEASED, Records.released(names)).bytes(bytes + RELEASED_FRAME_BYTES);
         return new Prepared(List.of(write), () -> {
             names.forEach(machine -> machine.releaseDurable = true);
             release();
--- a/src/main/java/notchpick/coordination/FrontDoor.java
+++ b/src/main/java/notchpick/coordination/FrontDoor.java
@@ -2,9 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import notchpick.bookkeeping.Records;
@@ -39,31 +37,25 @@
 
     public record TypesKnown(List<MachineType> types) implements Message {}
 
-    private static final int KEPT_FATES = 20_000;
     private static final int RETRY_AFTER_S = 1;
 
     private final Deployment deployment;
     private final StateApi state;
     private final Function<String, Progress> progress;
+    private final Fates fates;
     private final OpenCopy open;
+    private final Prerequisites prerequisites;
     private final Acceptances acceptances;
     private List<MachineType> types;
-    /** Jobs that are over; they stay as they are, so a copy can't be too old. */
-    private final Map<String, JobRecord> over = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, JobRecord> eldest) {
-            return size() > KEPT_FATES;
-        }
-    };
 
     public FrontDoor(EventLoop loop, Deployment deployment, StateApi state, Function<String, Progress> progress) {
         super(loop);
         this.deployment = deployment;
         this.state = state;
         this.progress = progress;
-        this.open = new OpenCopy(loop, state, deployment.requestsPerS(), this::after);
+        this.fates = new Fates(state);
+        this.open = new OpenCopy(loop, state, fates, deployment.requestsPerS(), this::after);
+        this.prerequisites = new Prerequisites(open, fates);
         this.acceptances = new Acceptances(state, deployment.writesAtOnce(), this::after);
     }
 
@@ -119,7 +111,7 @@
             reply.accept(error(400, e.getMessage()));
             return;
         }
-        JobRecord known = over.get(id);
+        JobRecord known = fates.known(id);
         if (known != null) {
             reply.accept(status(id, known));
             return;
@@ -136,7 +128,8 @@
             return;
         }
         if (Records.specBytes(spec) > deployment.valueBytes()) {
-            unlessKnown(id, error(400, "class, team, image and types are too long"), reply);
+            unlessKnown(id, error(400, "class, team, image, types and the jobs that it waits on are too long: "
+                    + "a description may take " + deployment.valueBytes() + " bytes"), reply);
             return;
         }
         String obstacle = obstacle(spec);
@@ -144,13 +137,25 @@
             unlessKnown(id, error(422, obstacle), reply);
             return;
         }
+        prerequisites.check(spec, verdict -> {
+            if (!verdict.readable()) {
+                reply.accept(later("the jobs that it waits on can't be read now"));
+            } else if (verdict.obstacle() != null) {
+                unlessKnown(id, error(422, verdict.obstacle()), reply);
+            } else {
+                accept(spec, verdict.doomed() ? "cancelled" : "queued", reply);
+            }
+        });
+    }
+
+    private void accept(JobSpec spec, String status, Consumer<Answer> reply) {
         acceptances.add(spec, outcome -> {
             switch (outcome) {
                 case ACCEPTED -> {
-                    log.info("job {} accepted: {} tasks of {}", id, spec.tasks(), spec.team());
-                    reply.accept(new Answer(201, Json.bytes(UserWire.status(id, "queued"))));
+                    log.info("job {} accepted: {} tasks of {}", spec.id(), spec.tasks(), spec.team());
+                    reply.accept(new Answer(201, Json.bytes(UserWire.status(spec.id(), status))));
                 }
-                case KNOWN -> poll(id, reply);
+                case KNOWN -> poll(spec.id(), reply);
                 case REFUSED -> reply.accept(later("the state service does not answer"));
             }
         });
@@ -183,7 +188,7 @@
             reply.accept(error(404, "no such job"));
             return;
         }
-        JobRecord known = over.get(id);
+        JobRecord known = fates.known(id);
         if (known != null) {
             reply.accept(status(id, known));
             return;
@@ -205,7 +210,7 @@
                 reply.accept(new Answer(200, Json.bytes(UserWire.status(id, word(job.record().fate())))));
                 return;
             }
-            JobRecord cancelled = new JobRecord(Fate.CANCELLED, job.record().tasks(), 0);
+            JobRecord cancelled = job.record().cancelled(loop.wallTime());
             Transaction transaction = new Transaction()
                     .guard(Records.OPEN + id, job.version())
                     .put(Records.JOB + id, Records.job(cancelled))
@@ -213,7 +218,7 @@
             state.commit(transaction, here(result -> {
                 if (result instanceof Ok<Long>) {
                     log.info("job {} cancelled", id);
-                    over.put(id, cancelled);
+                    fates.note(id, cancelled);
                     reply.accept(new Answer(200, Json.bytes(UserWire.status(id, "cancelled"))));
                 } else if (result instanceof Conflict<Long> && tries > 1) {
                     cancel(id, reply, tries - 1);
@@ -236,14 +241,15 @@
             if (!told.known()) {
                 reply.accept(later("the state service does not answer"));
             } else if (told.open() != null) {
-                then.accept(new Known(new JobRecord(Fate.OPEN, told.open().tasks(), 0), told.open().version()));
+                JobRecord record = told.open().record();
+                then.accept(new Known(told.doomed() ? record.cancelled(0) : record, told.open().version()));
             } else if (!state.hasSpare()) {
                 reply.accept(later("too many ask at once"));
             } else {
                 state.get(Records.JOB + id, here(ended -> {
                     if (ended instanceof Ok<Entry> ok) {
                         JobRecord record = Records.job(ok.value().value());
-                        over.put(id, record);
+                        fates.note(id, record);
                         then.accept(new Known(record, 0));
                     } else if (ended instanceof Missing<Entry>) {
                         then.accept(null);
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/Granting.java
@@ -152,6 +152,9 @@
         Set<String> present = new HashSet<>();
         long now = loop.now();
         for (Job job : roster.jobs.values()) {
+            if (job.held) {
+                continue;
+            }
             present.add(job.spec.team());
             if (job.waits() && job.notBefore <= now) {
                 waiting.computeIfAbsent(job.spec.team(), team -> new ArrayList<>()).add(job);
@@ -201,8 +204,7 @@
     }
 
     private boolean canBeKept(JobSpec spec) {
-        double ageS = (loop.wallTime() - spec.submittedAt()) / 1000.0;
-        return deployment.objectives().canBeKept(spec, ageS, estimates.runS(spec));
+        return deployment.objectives().canBeKept(spec, spec.ageS(loop.wallTime()), estimates.runS(spec));
     }
 
     /** What a team can count on, about: its guarantee, an equal part, or what it has now. */
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/Leader.java
@@ -94,7 +94,7 @@
         this.leases = new RoomLeases(loop, deployment, tuning, roster, peers, term, this::placed, this::roundSoon,
                 this::after);
         this.granting = new Granting(loop, deployment, tuning, roster, estimates, leases, fleet::fetchGbPerS);
-        this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, this::after, this::roundSoon,
+        this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, this::stageS, this::after, this::roundSoon,
                 this::answerHeld);
         this.starts = new Starts(loop, deployment, roster, ledger, fleet, this::answer);
         this.reports = new Reports(loop, deployment, roster, estimates, fleet, jobs, starts, term, this::holdsClaim,
@@ -102,6 +102,11 @@
         this.takeOver = new TakeOver(state, ledger, this::after, jobs, starts, fleet, granting, this::begin);
     }
 
+    /** A job's run time, the wait for a report that an order can ride on, and its image. */
+    private double stageS(JobSpec spec) {
+        return estimates.runS(spec) + deployment.reportS() / 2 + fleet.fetchS(spec.imageGb());
+    }
+
     private void released(Binding binding) {
         starts.over(binding);
     }
@@ -151,7 +156,8 @@
 
     private void saveCommitments() {
         ledger.write(Records.COMMITMENTS, () -> new Prepared(
-                List.of(Write.put(Records.COMMITMENTS, Records.commitments(granting.commitments()))),
+                List.of(Write.put(Records.COMMITMENTS,
+                        Records.commitments(granting.commitments(), deployment.valueBytes()))),
                 () -> { }, () -> { }));
     }
 
--- a/src/main/java/notchpick/coordination/OpenCopy.java
+++ b/src/main/java/notchpick/coordination/OpenCopy.java
@@ -3,11 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import notchpick.bookkeeping.Dependencies;
 import notchpick.bookkeeping.Records;
+import notchpick.bookkeeping.Records.JobRecord;
 import notchpick.protocol.StateApi;
 import notchpick.protocol.StateApi.Change;
 import notchpick.protocol.StateApi.Changes;
@@ -16,6 +20,7 @@
 import notchpick.protocol.StateApi.Missing;
 import notchpick.protocol.StateApi.Ok;
 import notchpick.protocol.StateApi.Result;
+import notchpick.scheduling.JobSpec;
 import notchpick.transport.EventLoop;
 
 /**
@@ -26,19 +31,27 @@
  */
 final class OpenCopy {
     /** What is known of an open job; the version is that of its description. */
-    record Open(int tasks, long version) {}
+    record Open(JobRecord record, long version) {}
 
-    /** What an asker is told: nothing, where the state service gave no answer. */
-    record Told(boolean known, Open open) {}
+    /**
+     * What an asker is told: nothing, where the state service gave no answer.
+     *
+     * @param open null if there is no such job, or it is over
+     * @param doomed whether a job that it needs, directly or through others, was cancelled: so it is cancelled too,
+     *         whoever may have written that down already
+     */
+    record Told(boolean known, Open open, boolean doomed) {}
 
     /** This part of the controller's requests is for questions; submissions and the leader's writes need the rest. */
     private static final double PART_OF_REQUESTS = 0.25;
 
     private final EventLoop loop;
     private final StateApi state;
+    private final Fates fates;
     private final BiConsumer<Long, Runnable> timer;
     private final long gapMs;
     private final Map<String, Open> jobs = new HashMap<>();
+    private final Dependencies dependencies = new Dependencies(jobs::containsKey);
     private List<Asker> waiting = new ArrayList<>();
     private long revision = -1;
     private long askedAt;
@@ -48,9 +61,10 @@
     private record Asker(String job, Consumer<Told> then) {}
 
     /** @param requestsPerS what this controller may send in all */
-    OpenCopy(EventLoop loop, StateApi state, double requestsPerS, BiConsumer<Long, Runnable> timer) {
+    OpenCopy(EventLoop loop, StateApi state, Fates fates, double requestsPerS, BiConsumer<Long, Runnable> timer) {
         this.loop = loop;
         this.state = state;
+        this.fates = fates;
         this.timer = timer;
         this.gapMs = (long) Math.ceil(1000 / (requestsPerS * PART_OF_REQUESTS));
         this.askedAt = loop.now() - gapMs;
@@ -79,8 +93,11 @@
     private void listed(List<Asker> asking, Result<Listing> result) {
         sendLater();
         if (result instanceof Ok<Listing> ok) {
-            jobs.clear();
-            ok.value().entries().forEach(entry -> opened(entry.key(), entry.value(), entry.version()));
+            Set<String> gone = new HashSet<>(jobs.keySet());
+            for (Entry entry : ok.value().entries()) {
+                gone.remove(opened(entry.key(), entry.value(), entry.version()));
+            }
+            gone.forEach(this::closed);
             revision = ok.value().revision();
         }
         tell(asking, result instanceof Ok<Listing>);
@@ -96,7 +113,7 @@
         if (result instanceof Ok<Changes> ok) {
             for (Change change : ok.value().log()) {
                 if (change.value() == null) {
-                    jobs.remove(change.key().substring(Records.OPEN.length()));
+                    closed(change.key().substring(Records.OPEN.length()));
                 } else {
                     opened(change.key(), change.value(), change.version());
                 }
@@ -108,9 +125,17 @@
         }
     }
 
-    private void opened(String key, JsonNode value, long version) {
+    private String opened(String key, JsonNode value, long version) {
         String id = key.substring(Records.OPEN.length());
-        jobs.put(id, new Open(Records.spec(id, value).tasks(), version));
+        JobSpec spec = Records.spec(id, value);
+        jobs.put(id, new Open(JobRecord.open(spec), version));
+        dependencies.opened(id, spec.needs());
+        return id;
+    }
+
+    private void closed(String id) {
+        jobs.remove(id);
+        dependencies.closed(id);
     }
 
     private void sendLater() {
@@ -121,6 +146,34 @@
     }
 
     private void tell(List<Asker> asking, boolean known) {
-        asking.forEach(asker -> asker.then().accept(new Told(known, jobs.get(asker.job()))));
+        List<Asker> held = new ArrayList<>();
+        for (Asker asker : asking) {
+            if (known && dependencies.holds(asker.job()) && !dependencies.unresolved().isEmpty()) {
+                held.add(asker);
+            } else {
+                tell(asker, known);
+            }
+        }
+        if (!held.isEmpty()) {
+            resolve(held);
+        }
+    }
+
+    private void tell(Asker asker, boolean known) {
+        asker.then().accept(new Told(known, jobs.get(asker.job()), dependencies.isDoomed(asker.job())));
+    }
+
+    /** Reads how the jobs ended that others need, before anything is said of these. */
+    private void resolve(List<Asker> held) {
+        if (!state.hasSpare()) {
+            held.forEach(asker -> tell(asker, false));
+            return;
+        }
+        fates.read(dependencies.unresolved(), found -> {
+            if (found != null) {
+                found.forEach(dependencies::resolved);
+            }
+            held.forEach(asker -> tell(asker, found != null));
+        });
     }
 }
--- a/src/main/java/notchpick/coordination/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/OpenJobs.java
@@ -1,6 +1,7 @@
 package notchpick.coordination;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import notchpick.bookkeeping.Binding;
 import notchpick.bookkeeping.Binding.Phase;
 import notchpick.bookkeeping.DoneMarks;
@@ -17,7 +19,6 @@
 import notchpick.bookkeeping.Ledger.Write;
 import notchpick.bookkeeping.Records;
 import notchpick.bookkeeping.Records.DoneRun;
-import notchpick.bookkeeping.Records.Fate;
 import notchpick.bookkeeping.Records.JobRecord;
 import notchpick.bookkeeping.Roster;
 import notchpick.bookkeeping.SharedValues;
@@ -28,6 +29,7 @@
 import notchpick.protocol.StateApi.Listing;
 import notchpick.protocol.StateApi.Missing;
 import notchpick.protocol.StateApi.Ok;
+import notchpick.scheduling.JobSpec;
 import notchpick.transport.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +44,7 @@
     private final StateApi state;
     private final Roster roster;
     private final Ledger ledger;
+    private final Pipelines pipelines;
     private final BiConsumer<Long, Runnable> timer;
     private final Runnable changed;
     private final Runnable saved;
@@ -52,7 +55,7 @@
 
     /** @param changed hears when jobs have come or gone; saved, when tasks' ends have become durable */
     OpenJobs(EventLoop loop, Deployment deployment, StateApi state, Roster roster, Ledger ledger,
-            BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
+            ToDoubleFunction<JobSpec> stageS, BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
         this.loop = loop;
         this.deployment = deployment;
         this.state = state;
@@ -62,6 +65,8 @@
         this.changed = changed;
         this.saved = saved;
         this.watchedAt = loop.now();
+        this.pipelines = new Pipelines(loop, deployment, roster, ledger, new Fates(state), stageS, timer, changed,
+                this::cancelled);
         this.marks = new SharedValues<>(ledger, Records.DONE_TASKS,
                 new SharedValues.Form<>(Records::doneBytes, Records::done), SharedValues.Fill.FULLEST,
                 deployment.valueBytes(), deployment.writesAtOnce(), this::durable);
@@ -94,7 +99,11 @@
                         job.finish(run.first() + bit);
                         job.durable.set(run.first() + bit);
                     });
-                    loaded.add(run(job, run.first()));
+                    // However long the run is that another version wrote.
+                    int end = run.first() + Math.max(1, run.bits().length());
+                    for (int first = run.first() - run.first() % runLength(); first < end; first += runLength()) {
+                        loaded.add(run(job, first));
+                    }
                 }
             }
             marks.loaded(entry.key(), loaded);
@@ -104,6 +113,7 @@
     // ---- users' changes ------------------------------------------------------------------------
 
     void watch(long since) {
+        pipelines.settle();
         long waitMs = (long) (deployment.reportS() * 1000);
         state.changes(Records.OPEN, since, waitMs, inTurn(result -> {
             if (result instanceof Ok<Changes> ok) {
@@ -146,7 +156,11 @@
 
     private void opened(String key, JsonNode value, long version) {
         String id = key.substring(Records.OPEN.length());
-        roster.jobs.computeIfAbsent(id, i -> new Job(Records.spec(i, value), version));
+        if (!roster.jobs.containsKey(id)) {
+            Job job = new Job(Records.spec(id, value), version);
+            roster.jobs.put(id, job);
+            pipelines.opened(job);
+        }
     }
 
     /** The job is over, by its last task or by its user. */
@@ -169,6 +183,18 @@
         if (over != null) {
             over.values().forEach(marks::drop);
         }
+        pipelines.closed(id);
+    }
+
+    /** For what they need has been: they never ran, so nothing else becomes of them. */
+    private void cancelled(Collection<String> ids) {
+        for (String id : ids) {
+            Job job = roster.jobs.get(id);
+            if (job != null) {
+                closed(id);
+                pipelines.ended(id, JobRecord.open(job.spec).cancelled(loop.wallTime()));
+            }
+        }
     }
 
     // ---- tasks end -----------------------------------------------------------------------------
@@ -201,17 +227,19 @@
     /** The last transition of a job; guarded on its description, so that it can't cross a cancellation. */
     private Prepared end(Job job) {
         String id = job.spec.id();
-        JobRecord record = new JobRecord(Fate.DONE, job.spec.tasks(), job.spec.tasks());
+        JobRecord record = JobRecord.done(job.spec, loop.wallTime());
         List<Write> writes = List.of(
                 Write.put(Records.JOB + id, Records.job(record)).unguarded(),
                 Write.delete(Records.OPEN + id).at(job.version));
         return new Prepared(writes, () -> {
             LOG.info("job {} is done", id);
             closed(id);
+            pipelines.ended(id, record);
             saved.run();
         }, () -> {
             // Cancelled meanwhile, or ended by a transaction whose answer was lost; the watch tells it too.
             closed(id);
+            pipelines.settle();
             saved.run();
         });
     }
--- a/src/main/java/notchpick/coordination/RoomLeases.java
+++ b/src/main/java/notchpick/coordination/RoomLeases.java
@@ -211,7 +211,8 @@
     /** All that the rules ask of a start, at the moment of the decision. */
     private boolean admissible(Job job, Machine machine, long now) {
         Deployment.Limit limit = deployment.limit(job.spec.team());
-        return machine.isUsable(now, deployment.reportS() * 1000)
+        return !job.held
+                && machine.isUsable(now, deployment.reportS() * 1000)
                 && job.spec.demand().fitsIn(machine.room())
                 && job.spec.allows(machine.type(), machine.zone(), machine.spot())
                 && (!job.spec.isConstrained()
--- a/src/main/java/notchpick/protocol/Json.java
+++ b/src/main/java/notchpick/protocol/Json.java
@@ -98,13 +98,13 @@
         return node == null || node.isNull();
     }
 
-    /** A list of texts, or null where it is absent. */
+    /** A list of texts, which may be empty, or null where it is absent. */
     static List<String> texts(JsonNode object, String field) throws InvalidMessage {
         if (absent(object, field)) {
             return null;
         }
         JsonNode node = object.get(field);
-        if (!node.isArray() || node.isEmpty()) {
+        if (!node.isArray()) {
             throw new InvalidMessage(field + " must be a list of names");
         }
         List<String> list = new ArrayList<>();
--- a/src/main/java/notchpick/protocol/StateApi.java
+++ b/src/main/java/notchpick/protocol/StateApi.java
@@ -127,8 +127,8 @@
         send("GET", "/keys/" + key, null, timeoutMs, false, answer -> then.accept(read(answer, body -> entry(body))));
     }
 
-    public void list(String prefix, String after, Consumer<Result<Listing>> then) {
-        String path = "/keys?prefix=" + prefix + "&limit=" + LIST_PAGE + (after == null ? "" : "&since=" + after);
+    public void list(String prefix, String after, int limit, Consumer<Result<Listing>> then) {
+        String path = "/keys?prefix=" + prefix + "&limit=" + limit + (after == null ? "" : "&since=" + after);
         send("GET", path, null, timeoutMs, false, answer -> then.accept(read(answer, body -> {
             List<Entry> entries = new ArrayList<>();
             body.path("items").forEach(item -> entries.add(entry(item)));
@@ -143,7 +143,7 @@
 
     private void listAll(String prefix, String after, List<Entry> sofar, long revision,
             Consumer<Result<Listing>> then) {
-        list(prefix, after, result -> {
+        list(prefix, after, LIST_PAGE, result -> {
             if (!(result instanceof Ok<Listing> ok)) {
                 then.accept(result);
                 return;
--- a/src/main/java/notchpick/protocol/UserWire.java
+++ b/src/main/java/notchpick/protocol/UserWire.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.regex.Pattern;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.JobSpec;
@@ -49,7 +50,7 @@
                 priority,
                 (int) Json.count(body, "pieces", 1, MAX_TASKS),
                 demand,
-                Json.texts(body, "boxKinds"),
+                types(body),
                 Json.absent(body, "site") ? null : Json.text(body, "site"),
                 Json.flag(body, "oneZone"),
                 Json.flag(body, "apart"),
@@ -60,9 +61,33 @@
                 Json.amount(body, "bookmarkS", 0, MAX_AMOUNT),
                 Json.amount(body, "bookmarkWriteS", 0, MAX_AMOUNT),
                 Json.absent(body, "dueS") ? null : Json.amount(body, "dueS", 0, MAX_AMOUNT),
+                now,
+                needs(body),
                 now);
     }
 
+    private static List<String> types(ObjectNode body) throws InvalidMessage {
+        List<String> types = Json.texts(body, "boxKinds");
+        if (types != null && types.isEmpty()) {
+            throw new InvalidMessage("boxKinds must name a machine type");
+        }
+        return types;
+    }
+
+    /** Each job once, however often it is named. */
+    private static List<String> needs(ObjectNode body) throws InvalidMessage {
+        List<String> named = Json.texts(body, "waitsOn");
+        if (named == null) {
+            return List.of();
+        }
+        for (String job : named) {
+            if (!isJobId(job)) {
+                throw new InvalidMessage("waitsOn must be a list of ids of the form run-000412");
+            }
+        }
+        return named.stream().distinct().toList();
+    }
+
     /** The id alone: a job known already is answered whatever else its retry says. */
     public static String jobId(ObjectNode body) throws InvalidMessage {
         String id = Json.text(body, "ref");
--- a/src/main/java/notchpick/scheduling/JobOrder.java
+++ b/src/main/java/notchpick/scheduling/JobOrder.java
@@ -51,13 +51,13 @@
         List<Placed<J>> later = new ArrayList<>();
         for (Waiting<J> waiting : jobs) {
             JobSpec spec = waiting.spec();
-            double ageS = (wallTime - spec.submittedAt()) / 1000.0;
             Placed<J> placed = new Placed<>(waiting, spec.priority().ordinal(),
-                    objectives.slackS(spec, ageS, waiting.runS()), waiting.remainingS() / Math.max(cores, 1));
+                    objectives.slackS(spec, spec.ageS(wallTime), waiting.runS()),
+                    waiting.remainingS() / Math.max(cores, 1));
             (spec.isUrgent() ? urgent : placed.late() ? later : inTime).add(placed);
         }
         Comparator<Placed<J>> byDue = Comparator.<Placed<J>>comparingDouble(Placed::due)
-                .thenComparingLong(p -> p.waiting().spec().submittedAt())
+                .thenComparingLong(p -> p.waiting().spec().readyAt())
                 .thenComparing(p -> p.waiting().spec().id());
         // What can't be on time any more must not make others late too.
         Comparator<Placed<J>> byPriority =
--- a/src/main/java/notchpick/scheduling/JobSpec.java
+++ b/src/main/java/notchpick/scheduling/JobSpec.java
@@ -10,6 +10,8 @@
  * @param zone the only allowed zone, or null
  * @param deadlineS when the job should be complete after its submission, or null
  * @param submittedAt time of day of the acceptance, in milliseconds
+ * @param needs the jobs that must be done before any task of this one starts
+ * @param readyAt since when it waits for nothing but room: its submission, or when the last job that it needs was done
  */
 public record JobSpec(
         String id,
@@ -30,7 +32,39 @@
         double checkpointS,
         double saveS,
         Double deadlineS,
-        long submittedAt) {
+        long submittedAt,
+        List<String> needs,
+        long readyAt) {
+
+    /** A job that needs no other. */
+    public JobSpec(String id, String jobClass, String team, Form form, Priority priority, int tasks, Amounts demand,
+            List<String> types, String zone, boolean oneZone, boolean spread, boolean spot, String image,
+            double imageGb, double estimateS, double checkpointS, double saveS, Double deadlineS, long submittedAt) {
+        this(id, jobClass, team, form, priority, tasks, demand, types, zone, oneZone, spread, spot, image, imageGb,
+                estimateS, checkpointS, saveS, deadlineS, submittedAt, List.of(), submittedAt);
+    }
+
+    /** The same job as it counts once it has taken priority and deadline over from others. */
+    public JobSpec counting(Priority as, Double due) {
+        return new JobSpec(id, jobClass, team, form, as, tasks, demand, types, zone, oneZone, spread, spot, image,
+                imageGb, estimateS, checkpointS, saveS, due, submittedAt, needs, readyAt);
+    }
+
+    /** The same job, held back by others until then. */
+    public JobSpec readyAt(long when) {
+        return new JobSpec(id, jobClass, team, form, priority, tasks, demand, types, zone, oneZone, spread, spot, image,
+                imageGb, estimateS, checkpointS, saveS, deadlineS, submittedAt, needs, when);
+    }
+
+    /** How long it has waited for room, or run. */
+    public double ageS(long wallTime) {
+        return (wallTime - readyAt) / 1000.0;
+    }
+
+    /** How long it was held back by jobs that it needs; its deadline has run meanwhile. */
+    public double heldS() {
+        return (readyAt - submittedAt) / 1000.0;
+    }
 
     /** How the tasks of a job relate. */
     public enum Form { ARRAY, SERVICE }
--- a/src/main/java/notchpick/scheduling/Objectives.java
+++ b/src/main/java/notchpick/scheduling/Objectives.java
@@ -1,5 +1,6 @@
 package notchpick.scheduling;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -24,7 +25,7 @@
             return switch (kind) {
                 case STARTED -> limit - ageS;
                 case FINISHED -> limit - ageS - runS;
-                case DEADLINE -> limit * spec.deadlineS() - ageS - runS;
+                case DEADLINE -> limit * spec.deadlineS() - spec.heldS() - ageS - runS;
             };
         }
 
@@ -33,9 +34,15 @@
         }
     }
 
+    /** What was promised of its class, and its own deadline in any case. */
     private List<Objective> of(JobSpec spec) {
         List<Objective> own = byClass.getOrDefault(spec.jobClass(), List.of());
-        return own.isEmpty() && spec.deadlineS() != null ? List.of(new Objective(Kind.DEADLINE, 1)) : own;
+        if (spec.deadlineS() == null || own.stream().anyMatch(objective -> objective.kind() == Kind.DEADLINE)) {
+            return own;
+        }
+        List<Objective> all = new ArrayList<>(own);
+        all.add(new Objective(Kind.DEADLINE, 1));
+        return all;
     }
 
     /** Whether something was promised of the job that can still be kept. */
@@ -52,7 +59,7 @@
      * For how long the job may wait and still be in time: by the nearest objective that can be met. Negative
      * if none can be met any more.
      *
-     * @param ageS since its submission
+     * @param ageS since it is ready
      * @param runS what a task of it is expected to run
      */
     public double slackS(JobSpec spec, double ageS, double runS) {
--- a/src/main/java/notchpick/scheduling/Sdrf.java
+++ b/src/main/java/notchpick/scheduling/Sdrf.java
@@ -35,7 +35,8 @@
         return largest(share) + largest(commitment);
     }
 
-    private static double largest(Amounts amounts) {
+    /** The dominant one. */
+    public static double largest(Amounts amounts) {
         return Math.max(amounts.cores(), Math.max(amounts.gpus(), amounts.ram()));
     }
 
