--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -241,10 +241,12 @@
 
     /** Whatever the settings say, the service does not take the value: half of it goes elsewhere. */
     private void refused(Slot<U> slot) {
-        slot.limit = slot.bytes / 2;
         List<U> units = new ArrayList<>(slot.units);
+        slot.limit = 0;
         for (U unit : units.subList((units.size() + 1) / 2, units.size())) {
             save(unit);
         }
+        // A unit that is not taken even alone is not tried again.
+        slot.limit = units.size() > 1 ? slot.bytes : 0;
     }
 }
--- a/src/test/java/notchpick/LayersTest.java
+++ b/src/test/java/notchpick/LayersTest.java
@@ -25,7 +25,7 @@
     private static final Pattern IMPORT = Pattern.compile("import (?:static )?notchpick\\.(\\w+)\\.");
     private static final Pattern WIRE_WORD = Pattern.compile(
             "\"(ref|workclass|ownerDesk|jobForm|urgency|pieces?|boxKinds?|borrowed|bundle|mandate|tryNo|orderKind"
-                    + "|hireSlip|entryNo|ledgerNo|permit|recallS|exitCause|foreman)\"");
+                    + "|hireSlip|waitsOn|entryNo|ledgerNo|permit|recallS|exitCause|foreman)\"");
 
     private static List<Path> sources(String layer) throws IOException {
         try (Stream<Path> files = Files.list(SOURCES.resolve(layer))) {
--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -21,6 +22,7 @@
 import notchpick.standin.CloudStandIn.Listing;
 import notchpick.standin.Network.Cut;
 import notchpick.standin.World;
+import notchpick.standin.World.Limits;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -41,6 +43,8 @@
         int controllers = 3;
         double requestsPerS = 300;
         double writesPerS = 100;
+        Limits next = null;
+        boolean nextIsNews = false;
         List<Limit> teams = new ArrayList<>();
         List<MachineType> types = new ArrayList<>();
         List<String[]> pools = new ArrayList<>();
@@ -51,6 +55,11 @@
                 case "", "#" -> { }
                 case "requests-per-second" -> requestsPerS = Double.parseDouble(words[1]);
                 case "writes-per-second" -> writesPerS = Double.parseDouble(words[1]);
+                case "next" -> {
+                    next = new Limits(Integer.parseInt(words[1]), Integer.parseInt(words[2]),
+                            Double.parseDouble(words[3]));
+                    nextIsNews = words.length > 4;
+                }
                 case "controllers" -> controllers = Integer.parseInt(words[1]);
                 case "team" -> teams.add(new Limit(words[1],
                         new Amounts(Double.parseDouble(words[2]), 0, 0),
@@ -67,7 +76,7 @@
         types = types.isEmpty()
                 ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
                 : types;
-        World world = new World(controllers, teams, types, requestsPerS, writesPerS);
+        World world = new World(controllers, teams, types, requestsPerS, writesPerS, next, nextIsNews);
         if (pools.isEmpty()) {
             world.capacity("m8", "east", true, 4);
             world.capacity("m8", "west", true, 4);
@@ -128,6 +137,7 @@
             case "outage" -> world.state().outage(first.equals("on"));
             case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
             case "pages" -> world.state().pages(Integer.parseInt(first));
+            case "limits-fall" -> world.limitsFall();
             case "lose-commits" -> world.state().loseCommits(Integer.parseInt(first),
                     (long) (Double.parseDouble(words[4]) * 1000));
             case "cloud" -> world.cloud().down(first.equals("down"));
@@ -196,6 +206,10 @@
         if (options.containsKey("due")) {
             body.put("dueS", Double.parseDouble(options.get("due")));
         }
+        if (options.containsKey("needs")) {
+            ArrayNode needs = body.putArray("waitsOn");
+            List.of(options.get("needs").split(",")).forEach(needs::add);
+        }
         if (options.containsKey("types")) {
             body.putArray("boxKinds").add(options.get("types"));
         }
@@ -236,6 +250,7 @@
                     ? world.turnedAway() >= Integer.parseInt(words[5])
                     : world.turnedAway() <= Integer.parseInt(words[5]), () -> where + ": " + world.turnedAway());
             case "untold" -> assertEquals(Integer.parseInt(words[4]), world.untold(), where);
+            case "malformed" -> assertEquals(Integer.parseInt(words[4]), world.state().malformed(), where);
             case "over-rate" -> assertTrue(world.state().overRate() <= Integer.parseInt(words[5]), () ->
                     where + ": " + world.state().overRate());
             case "term" -> assertEquals(Integer.parseInt(words[4]), world.term(), where);
--- a/src/test/java/notchpick/app/SettingsTest.java
+++ b/src/test/java/notchpick/app/SettingsTest.java
@@ -45,6 +45,17 @@
         assertTrue(deployment.limit("a").allows(new notchpick.scheduling.Amounts(1000, 0, 0)));
     }
 
+    @Test
+    void theSmallerOfPresentAndComingLimitsCounts() throws Exception {
+        Deployment deployment = Settings.read(file("s.json", GOOD.replace("\"txn_ops\":12",
+                "\"txn_ops\":12,\"next\":{\"value_kb\":2.0,\"txn_ops\":4,\"write_rps\":200,\"later\":1}")));
+        assertEquals(2048, deployment.valueBytes());
+        assertEquals(4, deployment.txnOps());
+        assertEquals(4, deployment.writesAtOnce());
+        assertEquals(100, deployment.stateWriteRps());
+        assertEquals(250, deployment.stateRps());
+    }
+
     @Test
     void theGraceOfALapsedLeaderFitsIntoACancellationsTime() throws Exception {
         Deployment deployment = Settings.read(file("s.json", GOOD));
@@ -56,6 +67,10 @@
     @ParameterizedTest
     @CsvSource({
         "'\"node\":\"n-0\",', '', node", "10.0.0.1:8080, here, serve_on", "'\"rps\":250', '\"rps\":0', state.rps",
+        "'\"txn_ops\":12', '\"txn_ops\":12,\"next\":{\"rps\":\"x\"}', state.next.rps",
+        "'\"txn_ops\":12', '\"txn_ops\":12,\"next\":{\"value_kb\":0}', state.next.value_kb",
+        "'\"txn_ops\":12', '\"txn_ops\":12,\"next\":[]', state.next",
+        "'\"txn_ops\":12', '\"txn_ops\":1', state.txn_ops",
         "'\"lease_s\":22', '\"lease_s\":\"x\"', workers.lease_s", "'\"teams\":[', '\"team\":[', teams"})
     void namesTheFieldThatIsWrong(String what, String instead, String named) throws Exception {
         Path file = file("s.json", GOOD.replace(what, instead));
--- /dev/null
+++ b/src/test/java/notchpick/bookkeeping/ProductionFormsTest.java
@@ -0,0 +1,163 @@
+package notchpick.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import notchpick.bookkeeping.Records.DoneRun;
+import notchpick.bookkeeping.Records.Fate;
+import notchpick.bookkeeping.Records.JobRecord;
+import notchpick.protocol.CloudApi;
+import notchpick.protocol.Json;
+import notchpick.protocol.PeerWire;
+import notchpick.protocol.peer.Envelope;
+import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.Placements;
+import notchpick.protocol.peer.Pulse;
+import notchpick.protocol.peer.Relay;
+import notchpick.protocol.peer.Relayed;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.FleetPlan.Pool;
+import notchpick.scheduling.JobSpec;
+import org.apache.avro.Schema;
+import org.apache.avro.SchemaNormalization;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The version in production and this one work on each other's data: what that version wrote and sent (kept under
+ * src/test/resources/production as it did) is read here, and what is written here has the form that it reads. When
+ * a new version has replaced it everywhere, that one's records take their place.
+ */
+class ProductionFormsTest {
+    private static final Path FOLDER = Path.of("src/test/resources/production");
+
+    private static ObjectNode stored() throws IOException {
+        return Json.object(Files.readAllBytes(FOLDER.resolve("state.json")));
+    }
+
+    private static JobSpec spec(int tasks) {
+        return new JobSpec("run-000010", "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, tasks,
+                new Amounts(1, 0, 1.8), List.of("m8"), "east", false, false, true, "i", 1, 10, 0, 0, 60.0, 5,
+                List.of("run-000001"), 5);
+    }
+
+    @Test
+    void descriptionsAreReadAsJobsThatNeedNothing() throws IOException {
+        JobSpec spec = Records.spec("run-000006", stored().get("open/run-000006"));
+        assertEquals(2, spec.tasks());
+        assertEquals(List.of(), spec.needs());
+        assertEquals(spec.submittedAt(), spec.readyAt());
+        assertEquals(1700000059904L, spec.submittedAt());
+    }
+
+    @Test
+    void endsAreReadWithoutATime() throws IOException {
+        assertEquals(new JobRecord(Fate.DONE, 60, 60, 0, false), Records.job(stored().get("job/run-000002")));
+        assertEquals(new JobRecord(Fate.CANCELLED, 8, 0, 0, false), Records.job(stored().get("job/run-000004")));
+    }
+
+    @Test
+    void sharedValuesAreRead() throws IOException {
+        assertEquals(8, Records.hints(stored().get("start/0")).size());
+        assertEquals(4, Records.released(stored().get("released")).size());
+        assertEquals(0.0252, Records.commitments(stored().get("commitments")).get("b").cores(), 0.0001);
+        assertEquals(1, CloudApi.types(stored().get("types")).size());
+        assertEquals(Records.FORMAT, stored().get("term").get("format").asInt());
+        DoneRun run = Records.done(stored().get("done/1")).get(0);
+        List<Integer> done = new ArrayList<>();
+        run.bits().stream().forEach(done::add);
+        assertEquals(List.of(0, 1, 6143, 6144, 12288, 19998), done);
+    }
+
+    /** Field by field, of the same type: a value of the old form's fields only, but for those it is known to ignore. */
+    private static void assertReadable(String key, JsonNode value, JsonNode old, List<String> ignored) {
+        TreeSet<String> fields = new TreeSet<>();
+        value.fieldNames().forEachRemaining(fields::add);
+        fields.removeAll(ignored);
+        TreeSet<String> known = new TreeSet<>();
+        old.fieldNames().forEachRemaining(known::add);
+        // Machine types are the one field that it leaves out where there are none.
+        fields.remove("types");
+        assertEquals(known, fields, key);
+        for (String field : known) {
+            JsonNode one = old.get(field);
+            assertTrue(one.isNull() || one.getNodeType() == value.get(field).getNodeType(), key + " " + field);
+        }
+    }
+
+    @Test
+    void whatIsWrittenHasTheFormThatIsRead() throws IOException {
+        ObjectNode old = stored();
+        assertEquals(2, Records.FORMAT);
+        assertReadable("open/", Records.spec(spec(4)), old.get("open/run-000006"), List.of("needs"));
+        List<String> ignored = List.of("endedAt", "service");
+        assertReadable("job/", Records.job(JobRecord.done(spec(4), 7)), old.get("job/run-000002"), ignored);
+        JobRecord cancelled = JobRecord.open(spec(4)).cancelled(7);
+        assertReadable("job/", Records.job(cancelled), old.get("job/run-000004"), ignored);
+        assertEquals("done", Records.job(JobRecord.done(spec(4), 7)).get("state").asText());
+        assertEquals("cancelled", Records.job(cancelled).get("state").asText());
+        Job job = new Job(spec(20), 1);
+        job.finish(3);
+        JsonNode marks = Records.done(List.of(new DoneMarks(job, 0, 20)));
+        assertReadable("done/", marks, old.get("done/0"), List.of());
+        assertEquals(kinds(old.get("done/0").get("jobs").get(0)), kinds(marks.get("jobs").get(0)));
+        Machine machine = new Machine("m-1", new Pool("m8", "east", true), new Amounts(8, 0, 64), 0);
+        JsonNode starts = Records.starts(List.of(new Binding(spec(4), 2, machine, 9, Binding.Phase.READY)));
+        assertReadable("start/", starts, old.get("start/0"), List.of());
+        assertEquals(kinds(old.at("/start~10/jobs/run-000008")), kinds(starts.at("/jobs/run-000010")));
+        JsonNode place = starts.at("/machines/m-1");
+        assertEquals(kinds(old.at("/start~10/machines/m-000003")), kinds(place));
+        assertEquals(List.of("STRING", "NUMBER", "NUMBER"), kinds(place.get(3)));
+        assertReadable("released", Records.released(List.of(machine)), old.get("released"), List.of());
+        JsonNode commitments = Records.commitments(Map.of("b", new Amounts(0.1, 0, 0)), 1000);
+        assertReadable("commitments", commitments.get("b"), old.get("commitments").get("b"), List.of());
+    }
+
+    private static List<String> kinds(JsonNode list) {
+        List<String> kinds = new ArrayList<>();
+        list.forEach(item -> kinds.add(item.getNodeType().name()));
+        return kinds;
+    }
+
+    @Test
+    void onlyKeysAreWrittenThatItKnows() throws IOException {
+        TreeSet<String> prefixes = new TreeSet<>();
+        stored().fieldNames().forEachRemaining(key -> prefixes.add(key.replaceFirst("/.*", "/")));
+        assertEquals(prefixes, new TreeSet<>(List.of(Records.OPEN, Records.JOB, Records.STARTS, Records.DONE_TASKS,
+                Records.RELEASED, Records.COMMITMENTS, Records.LEADER, Records.TERM, Records.TYPES)));
+    }
+
+    @Test
+    void messagesBetweenControllersAreTheSame() throws IOException {
+        Map<String, Class<?>> kinds = Map.of("Grant", Grant.class, "Placements", Placements.class, "Pulse", Pulse.class,
+                "Relay", Relay.class, "Relayed", Relayed.class);
+        Map<String, Object> read = new TreeMap<>();
+        for (String line : Files.readAllLines(FOLDER.resolve("peer.txt"))) {
+            String[] words = line.split(" ");
+            byte[] bytes = Base64.getDecoder().decode(words[1]);
+            Object body = PeerWire.body(bytes);
+            assertNotNull(body, words[0]);
+            assertEquals(kinds.get(words[0]), body.getClass());
+            assertEquals(words[1], Base64.getEncoder().encodeToString(PeerWire.bytes(body)));
+            read.put(words[0], body);
+        }
+        assertEquals(kinds.keySet(), read.keySet());
+        assertFalse(((Pulse) read.get("Pulse")).getProgress().isEmpty());
+        Schema old = new Schema.Parser().parse(new File(FOLDER.resolve("peer.avsc").toString()));
+        assertEquals(SchemaNormalization.toParsingForm(old),
+                SchemaNormalization.toParsingForm(Envelope.getClassSchema()));
+    }
+}
--- a/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
+++ b/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
@@ -172,4 +172,67 @@
             }
         }
     }
+
+    /** A value as another version left it, longer than this one may write, with its units as they are loaded. */
+    private List<Binding> leftLong(int key, int count) {
+        List<Binding> left = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            left.add(start(key * 10_000 + i));
+        }
+        JsonNode value = Records.starts(left);
+        assertTrue(Json.bytes(value).length > SHORT_BYTES);
+        state.holds(Records.STARTS + key, value);
+        return left;
+    }
+
+    private static final int SHORT_BYTES = 2048;
+
+    private SharedValues<Binding> shortValues(Ledger ledger) {
+        return new SharedValues<>(ledger, Records.STARTS, new SharedValues.Form<>(Records::startBytes, Records::starts),
+                SharedValues.Fill.EMPTIEST, SHORT_BYTES, 4, durable::addAll);
+    }
+
+    @Test
+    void aValueThatIsTooLongStaysUntilItsUnitsStandElsewhere() {
+        List<Binding> left = leftLong(0, 200);
+        state.limits(SHORT_BYTES, 4, 42);
+        Ledger small = new Ledger(api, loop, loop::after, 0, 4, 29, () -> { });
+        SharedValues<Binding> values = shortValues(small);
+        values.loaded(Records.STARTS + 0, left);
+        small.known(Records.STARTS + 0, 1);
+        // At each moment all are there that are not over, in whatever value.
+        List<Binding> over = new ArrayList<>(left.subList(0, 60));
+        over.forEach(values::drop);
+        List<Binding> changed = left.subList(60, 190);
+        changed.forEach(values::save);
+        for (int i = 0; i < 400; i++) {
+            values.tidy();
+            simulation.runUntil(simulation.now() + 7);
+            Set<String> stored = stored();
+            for (Binding binding : left.subList(60, 200)) {
+                assertTrue(stored.contains(binding.machine.name + " " + binding.taskName()), binding.taskName());
+            }
+        }
+        assertTrue(durable.containsAll(changed));
+        assertEquals(140, stored().size());
+        assertTrue(Json.bytes(state.value(Records.STARTS + 0)).length <= SHORT_BYTES, "the long one has been written");
+        assertEquals(0, state.malformed());
+    }
+
+    @Test
+    void aValueThatIsNotTakenIsHalvedAndHoldsNothingUp() {
+        state.limits(SHORT_BYTES, 12, 42);
+        // These values are longer than the service takes, whatever the settings say.
+        for (int i = 0; i < 150; i++) {
+            starts.save(start(i));
+        }
+        boolean[] other = {false};
+        ledger.write("other", () -> new Ledger.Prepared(
+                List.of(Ledger.Write.put("types", Json.object().put("a", 1)).unguarded()), () -> other[0] = true,
+                () -> { }));
+        simulation.runUntil(3000);
+        assertTrue(other[0], "what is beside it goes on");
+        simulation.runUntil(120_000);
+        assertEquals(150, durable.size());
+    }
 }
--- a/src/test/java/notchpick/protocol/UserWireTest.java
+++ b/src/test/java/notchpick/protocol/UserWireTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import notchpick.bookkeeping.Records;
 import notchpick.scheduling.JobSpec;
 import org.junit.jupiter.api.Test;
@@ -31,6 +32,20 @@
         assertEquals(spec, Records.spec("run-000412", json(Records.spec(spec).toString())));
     }
 
+    @Test
+    void jobsThatItWaitsOnCountOnce() throws InvalidMessage {
+        ObjectNode body = json(GOOD);
+        assertEquals(List.of(), UserWire.submission(body, 0).needs());
+        body.putNull("waitsOn");
+        assertEquals(List.of(), UserWire.submission(body, 0).needs());
+        body.putArray("waitsOn");
+        assertEquals(List.of(), UserWire.submission(body, 0).needs());
+        body.putArray("waitsOn").add("run-000398").add("run-000405").add("run-000398");
+        JobSpec spec = UserWire.submission(body, 0);
+        assertEquals(List.of("run-000398", "run-000405"), spec.needs());
+        assertEquals(spec, Records.spec("run-000412", json(Records.spec(spec).toString())));
+    }
+
     @Test
     void nullMayBeLeftOut() throws InvalidMessage {
         ObjectNode body = json(GOOD);
@@ -44,7 +59,8 @@
     @ValueSource(strings = {
         "\"jobForm\":\"gang\"", "\"urgency\":\"asap\"", "\"pieces\":0", "\"pieces\":100001", "\"pieces\":1.5",
         "\"pieces\":\"4\"", "\"cores\":-1", "\"cores\":null", "\"ref\":\"job-1\"", "\"ref\":7", "\"oneZone\":1",
-        "\"boxKinds\":[]", "\"boxKinds\":[3]", "\"bundle\":\"\"", "\"dueS\":\"soon\"", "\"ownerDesk\":null"})
+        "\"boxKinds\":[]", "\"waitsOn\":\"run-000001\"",
+        "\"waitsOn\":[1]", "\"waitsOn\":[\"job-1\"]", "\"waitsOn\":{}", "\"boxKinds\":[3]", "\"bundle\":\"\"", "\"dueS\":\"soon\"", "\"ownerDesk\":null"})
     void refusesWhatIsMissingOrOutOfRange(String wrong) {
         ObjectNode body = json(GOOD);
         ObjectNode patch = json("{" + wrong + "}");
--- /dev/null
+++ b/src/test/java/notchpick/scheduling/CriticalPathTest.java
@@ -0,0 +1,114 @@
+package notchpick.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import notchpick.scheduling.JobSpec.Priority;
+import org.junit.jupiter.api.Test;
+
+class CriticalPathTest {
+    private final CriticalPath path = new CriticalPath();
+    private final Map<String, JobSpec> jobs = new HashMap<>();
+
+    private Set<String> add(String id, Priority priority, Double dueS, double stageS, String... needs) {
+        JobSpec spec = new JobSpec(id, "c", "a", JobSpec.Form.ARRAY, priority, 1, new Amounts(1, 0, 1), null, null,
+                false, false, true, "i", 1, 20, 0, 0, dueS, 1000, List.of(needs), 1000);
+        jobs.put(id, spec);
+        return path.add(spec, stageS);
+    }
+
+    private JobSpec counting(String id) {
+        return path.counting(jobs.get(id));
+    }
+
+    @Test
+    void theTightestWayToTheDeadlineCounts() {
+        add("root", Priority.LOW, null, 10);
+        add("long", Priority.LOW, null, 30, "root");
+        add("short", Priority.NORMAL, null, 5, "root");
+        assertEquals(Set.of("root", "long", "short"), add("last", Priority.HIGH, 100.0, 8, "long", "short"));
+        assertEquals(100, counting("last").deadlineS());
+        assertEquals(92, counting("long").deadlineS());
+        assertEquals(92, counting("short").deadlineS());
+        assertEquals(62, counting("root").deadlineS());
+        assertEquals(Priority.HIGH, counting("root").priority());
+    }
+
+    @Test
+    void whatIsCancelledHurriesNobody() {
+        add("root", Priority.LOW, 500.0, 10);
+        add("one", Priority.PRODUCTION, 50.0, 8, "root");
+        add("other", Priority.NORMAL, 300.0, 8, "root");
+        assertEquals(42, counting("root").deadlineS());
+        assertEquals(Set.of("root"), path.remove("one"));
+        assertEquals(292, counting("root").deadlineS());
+        assertEquals(Priority.NORMAL, counting("root").priority());
+        path.remove("other");
+        assertEquals(500, counting("root").deadlineS());
+        assertEquals(Priority.LOW, counting("root").priority());
+    }
+
+    @Test
+    void withoutADeadlineThereIsNone() {
+        add("root", Priority.LOW, null, 10);
+        assertEquals(Set.of(), add("next", Priority.LOW, null, 10, "root"));
+        assertNull(counting("root").deadlineS());
+    }
+
+    @Test
+    void whatComesBeforeWhatItNeedsCountsAllTheSame() {
+        add("last", Priority.HIGH, 100.0, 8, "root");
+        assertEquals(Set.of("root"), add("root", Priority.LOW, null, 10));
+        assertEquals(92, counting("root").deadlineS());
+    }
+
+    @Test
+    void stepByStepItIsWhatItWouldBeAnew() {
+        Random random = new Random(7);
+        for (int round = 0; round < 50; round++) {
+            CriticalPath steps = new CriticalPath();
+            List<JobSpec> open = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                if (open.size() > 5 && random.nextInt(4) == 0) {
+                    steps.remove(open.remove(random.nextInt(open.size())).id());
+                    continue;
+                }
+                List<String> needs = new ArrayList<>();
+                for (JobSpec other : open) {
+                    if (random.nextInt(6) == 0) {
+                        needs.add(other.id());
+                    }
+                }
+                JobSpec spec = new JobSpec("j" + i, "c", "a", JobSpec.Form.ARRAY,
+                        Priority.values()[random.nextInt(4)], 1, new Amounts(1, 0, 1), null, null, false, false, true,
+                        "i", 1, 20, 0, 0, random.nextBoolean() ? 100.0 + random.nextInt(500) : null, 0, needs, 0);
+                open.add(spec);
+                steps.add(spec, 10);
+            }
+            CriticalPath anew = new CriticalPath();
+            open.forEach(spec -> anew.add(spec, 10));
+            for (JobSpec spec : open) {
+                assertEquals(anew.counting(spec), steps.counting(spec));
+            }
+        }
+    }
+
+    @Test
+    void aChangeCostsWhatItChanges() {
+        add("j0", Priority.LOW, null, 1);
+        for (int i = 1; i < 500; i++) {
+            add("j" + i, Priority.LOW, null, 1, "j" + (i - 1));
+        }
+        assertEquals(500, add("end", Priority.HIGH, 1000.0, 1, "j499").size());
+        // A second one that asks for less changes nothing along the whole chain.
+        Collection<String> changed = add("other", Priority.NORMAL, 2000.0, 1, "j499");
+        assertEquals(Set.of(), changed);
+    }
+}
--- a/src/test/java/notchpick/scheduling/ObjectivesTest.java
+++ b/src/test/java/notchpick/scheduling/ObjectivesTest.java
@@ -51,4 +51,18 @@
     void withoutAnyPromiseRunTimesCount() {
         assertEquals(260, OBJECTIVES.slackS(job("other", null), 100, 40));
     }
+
+    @Test
+    void waitsCountFromBeingReadyAndDeadlinesFromSubmission() {
+        JobSpec held = job("credit", 100.0).readyAt(30_000);
+        assertEquals(30, OBJECTIVES.slackS(held, held.ageS(30_000), 40));
+        JobSpec waits = job("import", null).readyAt(30_000);
+        assertEquals(60, OBJECTIVES.slackS(waits, waits.ageS(130_000), 40));
+    }
+
+    @Test
+    void aDeadlineCountsBesideWhatWasPromisedOfTheClass() {
+        assertEquals(10, OBJECTIVES.slackS(job("import", 150.0), 100, 40));
+        assertEquals(60, OBJECTIVES.slackS(job("import", 700.0), 100, 40));
+    }
 }
--- a/src/test/java/notchpick/standin/RuleBook.java
+++ b/src/test/java/notchpick/standin/RuleBook.java
@@ -1,8 +1,11 @@
 package notchpick.standin;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -82,6 +85,11 @@
         if (job == null) {
             return;
         }
+        for (String need : job.needs()) {
+            if (toldCancelled.containsKey(need) || completed(jobs.get(need)) < jobs.get(need).tasks()) {
+                breach("too_early", task + " before " + need + " is done");
+            }
+        }
         long inZone = 0;
         for (Map.Entry<String, Running> entry : running.entrySet()) {
             if (jobOf(entry.getKey()).equals(job.id())) {
@@ -121,6 +129,28 @@
         cancelAsked.add(job);
     }
 
+    /** The job and all that it needs, directly or through others, as far as anybody submitted them. */
+    private Set<String> withNeeds(String job) {
+        Set<String> all = new LinkedHashSet<>();
+        Deque<String> due = new ArrayDeque<>(List.of(job));
+        while (!due.isEmpty()) {
+            String next = due.poll();
+            if (all.add(next) && jobs.containsKey(next)) {
+                due.addAll(jobs.get(next).needs());
+            }
+        }
+        return all;
+    }
+
+    private void orphaned(String job, String state) {
+        for (String need : withNeeds(job)) {
+            Long at = toldCancelled.get(need);
+            if (at != null && clock.getAsLong() - at > cancelMs) {
+                breach("orphaned", job + " is called " + state + " long after " + need + " was cancelled");
+            }
+        }
+    }
+
     /** A user asked about a job, or submitted it again, and got this. */
     public void answered(String job, int status, String state) {
         JobSpec spec = jobs.get(job);
@@ -138,11 +168,14 @@
             breach("went_back", job + " from " + before + " to " + state);
         }
         if ("cancelled".equals(state)) {
-            if (!cancelAsked.contains(job)) {
-                breach("went_back", job + " was not cancelled by its user");
+            if (withNeeds(job).stream().noneMatch(cancelAsked::contains)) {
+                breach("went_back", job + " was not cancelled by its user, nor anything that it needs");
             }
             toldCancelled.putIfAbsent(job, clock.getAsLong());
         }
+        if ("queued".equals(state) || "running".equals(state)) {
+            orphaned(job, state);
+        }
         if ("done".equals(state) && completed(spec) < spec.tasks()) {
             breach("not_done", job);
         }
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -37,15 +37,17 @@
 
     private final LongSupplier clock;
     private final Timer timer;
-    private final int maxWrites;
+    private int maxWrites;
+    private int maxValueBytes = MAX_VALUE_BYTES;
     private final double requestsPerS;
-    private final double writesPerS;
+    private double writesPerS;
     private double requestBudget;
     private long requestBudgetAt;
     private double writeBudget;
     private long writeBudgetAt;
     private long writes;
     private int overRate;
+    private int malformed;
     private int overRequests;
     private int pageItems = 1000;
     private final TreeMap<String, Item> items = new TreeMap<>();
@@ -122,6 +124,24 @@
         outage = on;
     }
 
+    /** From now on less is taken; what is stored stays readable. */
+    public void limits(int valueBytes, int transactionWrites, double ratePerS) {
+        maxValueBytes = valueBytes;
+        maxWrites = transactionWrites;
+        writesPerS = ratePerS;
+    }
+
+    /** Transactions that were refused since they were too large. */
+    public int malformed() {
+        return malformed;
+    }
+
+    /** What another version left in the store. */
+    public void holds(String key, JsonNode value) {
+        items.put(key, new Item(value, ++revision, 0));
+        log.add(new Logged(key, value, revision));
+    }
+
     /** Cuts pages short after so many items. */
     public void pages(int items) {
         pageItems = items;
@@ -280,7 +300,8 @@
             }
         }
         JsonNode writes = body.path("writes");
-        if (writes.size() > maxWrites || tooLarge(writes)) {
+        if (writes.size() > maxWrites || body.path("guards").size() > 4 * maxWrites || tooLarge(writes)) {
+            malformed++;
             return new Answer(400, new byte[0]);
         }
         if (!withinRate(writes.size())) {
@@ -309,9 +330,9 @@
         return ok(Json.object().put("ledgerNo", revision));
     }
 
-    private static boolean tooLarge(JsonNode writes) {
+    private boolean tooLarge(JsonNode writes) {
         for (JsonNode write : writes) {
-            if (write.has("v") && Json.bytes(write.get("v")).length > MAX_VALUE_BYTES) {
+            if (write.has("v") && Json.bytes(write.get("v")).length > maxValueBytes) {
                 return true;
             }
         }
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -34,6 +34,9 @@
     private static final String STATE = "10.2.0.1:2379";
     private static final String CLOUD = "10.2.0.2:8443";
 
+    /** What the state service takes: bytes in a value, changes in a transaction, changes in a second. */
+    public record Limits(int valueBytes, int txnOps, double writesPerS) {}
+
     /** A job as the scenario describes it, beyond what the service is told. */
     private record Truth(JobSpec spec, ObjectNode body, long runMs, boolean fails) {}
 
@@ -52,7 +55,9 @@
     private final Map<Integer, Integer> stormAnswers = new HashMap<>();
     private final List<Limit> teams;
     private final double requestsPerS;
-    private final double writesPerS;
+    private final Limits limits;
+    private final Limits next;
+    private final boolean nextIsNews;
     private final RuleBook rules;
     private final StateStandIn state;
     private final CloudStandIn cloud;
@@ -61,10 +66,17 @@
     private int turnedAway;
     private int untold;
 
-    public World(int count, List<Limit> teams, List<MachineType> machineTypes, double requestsPerS, double writesPerS) {
+    /**
+     * @param next limits that will hold from some moment on
+     * @param nextIsNews whether a controller keeps to those only from its second life on, as in a roll
+     */
+    public World(int count, List<Limit> teams, List<MachineType> machineTypes, double requestsPerS, double writesPerS,
+            Limits next, boolean nextIsNews) {
         this.teams = teams;
         this.requestsPerS = requestsPerS;
-        this.writesPerS = writesPerS;
+        this.limits = new Limits(StateStandIn.MAX_VALUE_BYTES, 12, writesPerS);
+        this.next = next == null ? limits : next;
+        this.nextIsNews = nextIsNews;
         Map<String, Double> limits = new HashMap<>();
         teams.stream().filter(t -> t.most().cores() > 0).forEach(t -> limits.put(t.team(), t.most().cores()));
         rules = new RuleBook(simulation::now, (long) (CANCEL_S * 1000), limits);
@@ -97,6 +109,11 @@
         return cloud;
     }
 
+    /** From now on the state service takes no more than was announced. */
+    public void limitsFall() {
+        state.limits(next.valueBytes(), next.txnOps(), next.writesPerS());
+    }
+
     public RuleBook rules() {
         return rules;
     }
@@ -153,6 +170,7 @@
     public void begin(String node) {
         int index = nodes.indexOf(node);
         int life = lives.merge(node, 1, Integer::sum);
+        Limits known = nextIsNews && life == 1 ? limits : next;
         List<Peer> peers = new ArrayList<>();
         for (String other : nodes) {
             if (!other.equals(node)) {
@@ -160,9 +178,8 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                List.of("east", "west"), teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, writesPerS,
-                StateStandIn.MAX_VALUE_BYTES, 12, 10,
-                3, 1000);
+                List.of("east", "west"), teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, known.writesPerS(),
+                known.valueBytes(), known.txnOps(), 10, 3, 1000);
         // Clocks at the edges of their bounds.
         double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
         var loop = simulation.loop(fast, index * 100L - 100, () -> lives.get(node) == life,
