--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -22,7 +22,8 @@
 /** The command line. */
 @Command(name = "notchpick", mixinStandardHelpOptions = true, version = "notchpick 0.1.0",
         description = "Runs one controller of a cluster scheduler, until it is killed.",
-        footer = {"", "Logs go to standard error; LOG_LEVEL is one of error, info (default), debug."})
+        footer = {"", "Limits that deployment.state.next announces in the settings are kept to from the start.",
+            "Logs go to standard error; LOG_LEVEL is one of error, info (default), debug."})
 public final class Main implements Callable<Integer> {
     private static final long CONNECT_TIMEOUT_MS = 1000;
     private static final int CONNECTIONS_PER_TARGET = 16;
--- a/src/test/java/notchpick/rehearsal/Rehearsal.java
+++ b/src/test/java/notchpick/rehearsal/Rehearsal.java
@@ -152,6 +152,9 @@
         until(201, "POST", users + "/submissions", Json.bytes(job));
         until(200, "POST", users + "/submissions", Json.bytes(job));
         call("POST", users + "/submissions", Json.bytes(Json.object().put("ref", "run-000002")));
+        ObjectNode next = job.deepCopy().put("ref", "run-000003");
+        next.putArray("waitsOn").add("run-000001");
+        until(201, "POST", users + "/submissions", Json.bytes(next));
         until(200, "POST", users + "/hello", report(0, 0, null));
         for (int i = 1; i < 12; i++) {
             call("POST", users + "/hello", report(i, 1, i < 4 ? null : i < 8 ? "running" : "exited"));
@@ -163,6 +166,7 @@
         until(200, "POST", peers + PeerWire.PATH, PeerWire.bytes(grant));
         until(200, "POST", peers + PeerWire.PATH, PeerWire.bytes(pulse()));
         until(200, "POST", users + "/submissions/run-000001/abort", new byte[0]);
+        call("GET", users + "/submissions/run-000003", null);
         call("GET", users + "/submissions/run-999999", null);
     }
 
