--- /dev/null
+++ b/src/test/java/notchpick/bookkeeping/DependenciesTest.java
@@ -0,0 +1,104 @@
+package notchpick.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import notchpick.bookkeeping.Records.Fate;
+import notchpick.bookkeeping.Records.JobRecord;
+import org.junit.jupiter.api.Test;
+
+class DependenciesTest {
+    private static final JobRecord CANCELLED = new JobRecord(Fate.CANCELLED, 1, 0, 0, false);
+
+    private final Set<String> open = new HashSet<>();
+    private final Dependencies dependencies = new Dependencies(open::contains);
+
+    private void open(String job, String... needs) {
+        open.add(job);
+        dependencies.opened(job, List.of(needs));
+    }
+
+    private void close(String job) {
+        open.remove(job);
+        dependencies.closed(job);
+    }
+
+    private static JobRecord done(long at) {
+        return new JobRecord(Fate.DONE, 1, 1, at, false);
+    }
+
+    @Test
+    void aJobIsHeldUntilAllThatItNeedsAreKnownToBeDone() {
+        open("a");
+        open("b");
+        open("c", "a", "b");
+        close("a");
+        assertEquals(Set.of("a"), dependencies.unresolved());
+        assertTrue(dependencies.resolved("a", done(700)).isEmpty());
+        close("b");
+        assertTrue(dependencies.holds("c"), "over, but nobody knows how");
+        assertEquals(Set.of("c"), dependencies.resolved("b", done(500)));
+        assertFalse(dependencies.holds("c"));
+        assertEquals(700, dependencies.lastEndedAt("c"));
+    }
+
+    @Test
+    void theOrderInWhichJobsAreReadDoesNotMatter() {
+        open("c", "b");
+        open("b", "a");
+        assertEquals(Set.of("a"), dependencies.unresolved());
+        assertTrue(dependencies.holds("c") && dependencies.holds("b"));
+        dependencies.resolved("a", CANCELLED);
+        assertTrue(dependencies.isDoomed("c") && dependencies.isDoomed("b"));
+    }
+
+    @Test
+    void whatComesAfterACancelledOneIsCancelledHoweverLateItComes() {
+        open("a");
+        open("b", "a");
+        close("a");
+        dependencies.resolved("a", CANCELLED);
+        open("c", "b");
+        assertTrue(dependencies.isDoomed("c"));
+        close("b");
+        dependencies.resolved("b", CANCELLED);
+        assertTrue(dependencies.isDoomed("c"));
+        close("c");
+        assertTrue(dependencies.doomed().isEmpty());
+        assertTrue(dependencies.unresolved().isEmpty());
+    }
+
+    @Test
+    void whatNobodyNeedsAnyMoreIsNotAskedFor() {
+        open("b", "a");
+        close("b");
+        assertTrue(dependencies.unresolved().isEmpty());
+    }
+
+    @Test
+    void toHearTwiceChangesNothing() {
+        open("a");
+        open("b", "a");
+        close("a");
+        dependencies.resolved("a", done(9));
+        open("b", "a");
+        assertFalse(dependencies.holds("b"));
+        assertTrue(dependencies.resolved("a", CANCELLED).isEmpty());
+        assertFalse(dependencies.isDoomed("b") && dependencies.holds("b"));
+    }
+
+    @Test
+    void longChainsAreWalkedWithoutDepth() {
+        open("j0");
+        for (int i = 1; i < 20_000; i++) {
+            open("j" + i, "j" + (i - 1));
+        }
+        close("j0");
+        dependencies.resolved("j0", CANCELLED);
+        assertEquals(19_999, dependencies.doomed().size());
+    }
+}
