Election: the key's end is watched, not only looked for

Cause: in Mombasa's roll the leader changed three times, as old processes won two elections, and after a crash of five a controller that had just come back won over two that had been there. A watch on the key tells at once; the looks stay, they show that the state service is out of reach.

--- a/src/main/java/notchpick/coordination/Elector.java
+++ b/src/main/java/notchpick/coordination/Elector.java
@@ -4,6 +4,7 @@
 import notchpick.bookkeeping.Records;
 import notchpick.protocol.Json;
 import notchpick.protocol.StateApi;
+import notchpick.protocol.StateApi.Changes;
 import notchpick.protocol.StateApi.Conflict;
 import notchpick.protocol.StateApi.Entry;
 import notchpick.protocol.StateApi.Missing;
@@ -37,6 +38,9 @@
         void deposed();
     }
 
+    /** The wait after the leader's key is gone, as a part of the time between two looks at the most. */
+    private static final int CROWD_PART = 4;
+
     private final String node;
     private final StateApi state;
     private final Random random;
@@ -51,6 +55,9 @@
     private long standAsideUntil;
     private long tenure;
     private boolean foreign;
+    private boolean watching;
+    /** Counts the looks that were put off; a newer one takes the place of an older. */
+    private long looks;
 
     public Elector(EventLoop loop, String node, StateApi state, Random random, long leaseMs, Listener listener) {
         super(loop);
@@ -103,11 +110,38 @@
         leader = node.equals(leader) ? null : leader;
         listener.deposed();
         state.endLease(lease, here(ended -> {}));
-        after(pollMs, this::look);
+        lookIn(pollMs);
     }
 
     private void lookLater() {
-        after(pollMs + random.nextInt((int) pollMs), this::look);
+        lookIn(pollMs + random.nextInt((int) pollMs));
+    }
+
+    private void lookIn(long delayMs) {
+        long due = ++looks;
+        after(delayMs, () -> {
+            if (due == looks) {
+                look();
+            }
+        });
+    }
+
+    /**
+     * Hears at once that the leader's key is gone. Who has been there all along so comes before who just starts,
+     * and in a roll before the version that only looks now and then. A short wait by chance spares a crowd.
+     */
+    private void watch(long version) {
+        if (watching) {
+            return;
+        }
+        watching = true;
+        state.changes(Records.LEADER, version, leaseMs, here(result -> {
+            watching = false;
+            if (!leading && result instanceof Ok<Changes> ok
+                    && ok.value().log().stream().anyMatch(change -> change.value() == null)) {
+                lookIn(random.nextInt((int) Math.max(1, pollMs / CROWD_PART)));
+            }
+        }));
     }
 
     private void look() {
@@ -131,6 +165,7 @@
                     term = known;
                     leader = holder;
                 }
+                watch(ok.value().version());
                 lookLater();
             } else if (result instanceof Missing<Entry> && loop.now() >= standAsideUntil) {
                 stand();
