--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -40,6 +41,8 @@
         FULLEST
     }
 
+    /** Where values are many, so many calls tidy all of them. */
+    private static final int TIDY_PART = 30;
     /** What surrounds the units in a value takes no more than this. */
     private static final int FRAME_BYTES = 64;
     /** A transaction may hold this much in all; guards and keys need some of it. */
@@ -165,16 +168,18 @@
         awaitNoMore(unit);
     }
 
-    /** Writes the value anew that holds most of what is over. */
+    /** Writes those values anew that hold most of what is over: one, and where there are many, a part of them. */
     public void tidy() {
-        Slot<U> stalest = null;
+        List<Slot<U>> stale = new ArrayList<>();
         for (Slot<U> slot : slots.values()) {
-            if (slot.staleBytes > 0 && slot.hasRoomFor(0) && (stalest == null || slot.staleBytes > stalest.staleBytes)) {
-                stalest = slot;
+            if (slot.staleBytes > 0 && slot.hasRoomFor(0)) {
+                stale.add(slot);
             }
         }
-        if (stalest != null) {
-            stalest.changes++;
+        if (!stale.isEmpty()) {
+            stale.sort(Comparator.comparingInt(slot -> -slot.staleBytes));
+            int some = Math.min(stale.size(), 1 + slots.size() / TIDY_PART);
+            stale.subList(0, some).forEach(slot -> slot.changes++);
             ledger.write(prefix, this::prepare);
         }
     }
