--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +60,8 @@
     private final Map<U, Slot<U>> slotOf = new HashMap<>();
     /** Values in which a unit stands too that has moved, and is not durable where it is now. */
     private final Map<U, Set<Slot<U>>> leftBehind = new HashMap<>();
+    /** So many times only one value goes into a transaction. */
+    private int alone;
 
     private static final class Slot<U> {
         private final String key;
@@ -216,13 +219,13 @@
     private Prepared prepare() {
         List<Write> writes = new ArrayList<>();
         List<U> units = new ArrayList<>();
-        Map<Slot<U>, Long> written = new HashMap<>();
+        Map<Slot<U>, Long> written = new LinkedHashMap<>();
         int bytes = 0;
         for (Slot<U> slot : slots.values()) {
             if (!slot.isDue()) {
                 continue;
             }
-            if (!writes.isEmpty() && (writes.size() == maxWrites || bytes + slot.bytes > TRANSACTION_BYTES)) {
+            if (!writes.isEmpty() && (alone > 0 || writes.size() == maxWrites || bytes + slot.bytes > TRANSACTION_BYTES)) {
                 break;
             }
             bytes += slot.bytes;
@@ -234,6 +237,7 @@
         if (writes.isEmpty()) {
             return null;
         }
+        alone = Math.max(0, alone - 1);
         return new Prepared(writes, () -> {
             written.forEach((slot, changes) -> slot.saved = changes);
             units.forEach(this::awaitNoMore);
@@ -241,11 +245,21 @@
             if (slots.values().stream().anyMatch(Slot::isDue)) {
                 ledger.write(prefix, this::prepare);
             }
-        }, () -> { }, () -> written.keySet().forEach(this::refused));
+        }, () -> { }, () -> refused(written.keySet()));
+    }
+
+    /** One of the values is at fault: each goes alone then. */
+    private void refused(Set<Slot<U>> written) {
+        if (written.size() == 1) {
+            halve(written.iterator().next());
+        } else {
+            alone = written.size();
+            ledger.write(prefix, this::prepare);
+        }
     }
 
     /** Whatever the settings say, the service does not take the value: half of it goes elsewhere. */
-    private void refused(Slot<U> slot) {
+    private void halve(Slot<U> slot) {
         List<U> units = new ArrayList<>(slot.units);
         slot.limit = 0;
         for (U unit : units.subList((units.size() + 1) / 2, units.size())) {
