--- a/src/test/java/notchpick/standin/RuleBookTest.java
+++ b/src/test/java/notchpick/standin/RuleBookTest.java
@@ -19,6 +19,11 @@
                 new Amounts(4, 0, 1), List.of("m8"), null, oneZone, spread, spot, "i", 1, 1, 0, 0, null, 0));
     }
 
+    private void submitAfter(String id, String need) {
+        rules.submitted(new JobSpec(id, "c", "a", JobSpec.Form.ARRAY, JobSpec.Priority.NORMAL, 1, new Amounts(4, 0, 1),
+                List.of("m8"), null, false, false, true, "i", 1, 1, 0, 0, null, 0, List.of(need), 0));
+    }
+
     private void broken(String rule) {
         assertEquals(1, rules.breaches().size(), () -> rules.breaches().toString());
         assertTrue(rules.breaches().get(0).startsWith(rule), () -> rules.breaches().toString());
@@ -113,4 +118,39 @@
         rules.answered("run-1", 200, "cancelled");
         broken("went_back");
     }
+
+    @Test
+    void tooEarly() {
+        submit("run-1", 2, false, false, true);
+        submitAfter("run-2", "run-1");
+        rules.completed("run-1/0");
+        rules.started("m-1", "run-2/0", "m8", "east", true);
+        broken("too_early");
+    }
+
+    @Test
+    void orphaned() {
+        submit("run-1", 1, false, false, true);
+        submitAfter("run-2", "run-1");
+        submitAfter("run-3", "run-2");
+        rules.cancelAsked("run-1");
+        rules.answered("run-1", 200, "cancelled");
+        now = 40_000;
+        rules.answered("run-3", 200, "queued");
+        assertEquals(List.of(), rules.breaches());
+        now = 40_001;
+        rules.answered("run-3", 200, "queued");
+        broken("orphaned");
+    }
+
+    @Test
+    void cancelledForWhatItNeeds() {
+        submit("run-1", 1, false, false, true);
+        submitAfter("run-2", "run-1");
+        rules.cancelAsked("run-1");
+        rules.answered("run-2", 200, "cancelled");
+        assertEquals(List.of(), rules.breaches());
+        rules.answered("run-2", 200, "queued");
+        broken("went_back");
+    }
 }
