--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -34,8 +34,6 @@
     /** When the newest report came; since that moment its lease runs. */
     public long reportedAt;
     public boolean everReported;
-    /** The cloud has listed it. */
-    public boolean listed;
     /** Its report has not been answered yet: orders can go out at once. */
     public boolean awaitsAnswer;
     /** No former leader's order can reach it any more, and all that is on it has been reported. */
@@ -127,11 +125,6 @@
                 && now - reportedAt < 2 * reportMs;
     }
 
-    /** Whether it is, or will be, there to be used, as far as anybody can tell: a former leader's word may be old. */
-    public boolean isOwned() {
-        return life == Life.BOOTING || life == Life.UP && noticeS == null && (everReported || listed);
-    }
-
     public boolean isIdle() {
         return bindings.isEmpty() && !isLeased();
     }
--- a/src/main/java/notchpick/bookkeeping/SharedValues.java
+++ b/src/main/java/notchpick/bookkeeping/SharedValues.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -42,8 +41,6 @@
         FULLEST
     }
 
-    /** Where values are many, so many calls tidy all of them. */
-    private static final int TIDY_PART = 30;
     /** What surrounds the units in a value takes no more than this. */
     private static final int FRAME_BYTES = 64;
     /** A transaction may hold this much in all; guards and keys need some of it. */
@@ -171,18 +168,16 @@
         awaitNoMore(unit);
     }
 
-    /** Writes those values anew that hold most of what is over: one, and where there are many, a part of them. */
+    /** Writes the value anew that holds most of what is over. */
     public void tidy() {
-        List<Slot<U>> stale = new ArrayList<>();
+        Slot<U> stalest = null;
         for (Slot<U> slot : slots.values()) {
-            if (slot.staleBytes > 0 && slot.hasRoomFor(0)) {
-                stale.add(slot);
+            if (slot.staleBytes > 0 && slot.hasRoomFor(0) && (stalest == null || slot.staleBytes > stalest.staleBytes)) {
+                stalest = slot;
             }
         }
-        if (!stale.isEmpty()) {
-            stale.sort(Comparator.comparingInt(slot -> -slot.staleBytes));
-            int some = Math.min(stale.size(), 1 + slots.size() / TIDY_PART);
-            stale.subList(0, some).forEach(slot -> slot.changes++);
+        if (stalest != null) {
+            stalest.changes++;
             ledger.write(prefix, this::prepare);
         }
     }
--- a/src/main/java/notchpick/coordination/Demand.java
+++ b/src/main/java/notchpick/coordination/Demand.java
@@ -76,7 +76,7 @@
                 boolean atOnce = limit != null && limit.guarantees(after);
                 job.pressed = atOnce || isPressed(waiting, cores > 0 ? aheadS / cores : Double.MAX_VALUE);
                 job.stranded |= isStranded(spec);
-                needs.add(new Need(spec, tasks, job.bound.size(), waiting.runS(), job.mayUseOrdinary(), atOnce));
+                needs.add(new Need(spec, tasks, waiting.runS(), job.mayUseOrdinary(), atOnce));
             }
         }
         return needs;
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/Fleet.java
@@ -146,7 +146,7 @@
         List<Need> needs = demand.needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
-            if (machine.isOwned()) {
+            if (machine.life == Life.BOOTING || machine.life == Life.UP && machine.noticeS == null) {
                 owned.add(new Owned(machine.name, machine.pool, machine.size, machine.isIdle()));
             }
         }
@@ -338,7 +338,6 @@
             found.knownSince = now - (long) (listed.ageS() * 1000);
             return found;
         });
-        machine.listed = true;
         if (listed.state() == CloudApi.ListedState.FAILED && machine.life != Life.RELEASED) {
             LOG.info("machine {} has failed", machine.name);
             machine.life = Life.RELEASED;
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -24,12 +24,11 @@
      * What one job could use.
      *
      * @param tasks its unfinished tasks, running ones included
-     * @param running those that have a machine already: they hold it whatever would do
      * @param runS what one task is expected to run
      * @param pressed whether its users can't wait for cheap machines
      * @param atOnce whether all its tasks should run side by side
      */
-    public record Need(JobSpec spec, int tasks, int running, double runS, boolean pressed, boolean atOnce) {}
+    public record Need(JobSpec spec, int tasks, double runS, boolean pressed, boolean atOnce) {}
 
     /** A machine that is up or will be. */
     public record Owned(String name, Pool pool, Amounts size, boolean idle) {}
@@ -110,7 +109,7 @@
             return need.tasks();
         }
         double rounds = Math.max(1, Math.floor(horizonS / Math.max(need.runS(), 1)));
-        return Math.max((int) Math.ceil(need.tasks() / rounds), Math.min(need.running(), need.tasks()));
+        return (int) Math.ceil(need.tasks() / rounds);
     }
 
     private static int pack(Need need, Slot slot, int wanted) {
