--- a/src/main/java/notchpick/coordination/Acceptances.java
+++ b/src/main/java/notchpick/coordination/Acceptances.java
@@ -108,11 +108,16 @@
             int half = batch.size() / 2;
             again(batch.subList(0, half));
             tell(batch.subList(half, batch.size()), Outcome.REFUSED);
-        } else if (result instanceof Refused<Long> refused && refused.status() == MALFORMED && batch.size() > 1) {
+        } else if (result instanceof Refused<Long> refused && refused.status() == MALFORMED) {
             // One of them the service will never take: the others must not share its fate.
-            onTheirWay++;
-            send(batch.subList(0, 1));
-            again(batch.subList(1, batch.size()));
+            if (batch.size() > 1) {
+                onTheirWay++;
+                send(batch.subList(0, 1));
+                again(batch.subList(1, batch.size()));
+            } else {
+                again(List.of());
+                tell(batch, Outcome.REFUSED);
+            }
         } else if (result instanceof Ok<Long>) {
             again(List.of());
             tell(batch, Outcome.ACCEPTED);
