Layout: coordination parted into membership, leading and users; nothing else moves

Files and imports only; Fates, which users and leading share, is public now. The layer test knows the parts, and that every folder is a layer. mvn -B verify: green.

--- a/src/main/java/notchpick/coordination/Fates.java
+++ b/src/main/java/notchpick/coordination/Fates.java
@@ -17,7 +17,7 @@
  * How jobs ended that are not open any more: read from the state service, those of neighbouring ids by one request,
  * and kept, since ends are for good.
  */
-final class Fates {
+public final class Fates {
     private static final int PAGE = 100;
     private static final int KEPT = 20_000;
 
@@ -31,21 +31,21 @@
         }
     };
 
-    Fates(StateApi state) {
+    public Fates(StateApi state) {
         this.state = state;
     }
 
     /** How the job ended, if that is known here; null: it may be over all the same. */
-    JobRecord known(String job) {
+    public JobRecord known(String job) {
         return known.get(job);
     }
 
-    void note(String job, JobRecord record) {
+    public void note(String job, JobRecord record) {
         known.put(job, record);
     }
 
     /** Gives the ends that are written, by job; null if the state service did not tell. */
-    void read(Collection<String> jobs, Consumer<Map<String, JobRecord>> then) {
+    public void read(Collection<String> jobs, Consumer<Map<String, JobRecord>> then) {
         TreeSet<String> left = new TreeSet<>();
         Map<String, JobRecord> found = new HashMap<>();
         for (String job : jobs) {
--- a/src/main/java/notchpick/coordination/Demand.java
+++ b/src/main/java/notchpick/coordination/leading/Demand.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +9,7 @@
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Machine.Life;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.FleetPlan.Need;
--- a/src/main/java/notchpick/coordination/Fleet.java
+++ b/src/main/java/notchpick/coordination/leading/Fleet.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +16,7 @@
 import notchpick.bookkeeping.Machine.Life;
 import notchpick.bookkeeping.Records;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
 import notchpick.protocol.CloudApi;
 import notchpick.protocol.CloudApi.Listed;
 import notchpick.scheduling.Amounts;
--- a/src/main/java/notchpick/coordination/Granting.java
+++ b/src/main/java/notchpick/coordination/leading/Granting.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -14,6 +14,8 @@
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Tuning;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.JobOrder;
--- a/src/main/java/notchpick/coordination/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +12,9 @@
 import notchpick.bookkeeping.Machine.Life;
 import notchpick.bookkeeping.Records;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Tuning;
+import notchpick.coordination.membership.Peers;
 import notchpick.protocol.CloudApi;
 import notchpick.protocol.StateApi;
 import notchpick.protocol.WorkerWire.Report;
--- a/src/main/java/notchpick/coordination/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/leading/OpenJobs.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Collection;
@@ -22,6 +22,8 @@
 import notchpick.bookkeeping.Records.JobRecord;
 import notchpick.bookkeeping.Roster;
 import notchpick.bookkeeping.SharedValues;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Fates;
 import notchpick.protocol.StateApi;
 import notchpick.protocol.StateApi.Change;
 import notchpick.protocol.StateApi.Changes;
--- a/src/main/java/notchpick/coordination/Pipelines.java
+++ b/src/main/java/notchpick/coordination/leading/Pipelines.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -16,6 +16,8 @@
 import notchpick.bookkeeping.Records.Fate;
 import notchpick.bookkeeping.Records.JobRecord;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Fates;
 import notchpick.scheduling.CriticalPath;
 import notchpick.scheduling.JobSpec;
 import notchpick.transport.EventLoop;
--- a/src/main/java/notchpick/coordination/Placer.java
+++ b/src/main/java/notchpick/coordination/leading/Placer.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/notchpick/coordination/Reports.java
+++ b/src/main/java/notchpick/coordination/leading/Reports.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,6 +16,7 @@
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Machine.Life;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
 import notchpick.protocol.Json;
 import notchpick.protocol.WorkerWire;
 import notchpick.protocol.WorkerWire.Exit;
--- a/src/main/java/notchpick/coordination/RoomLeases.java
+++ b/src/main/java/notchpick/coordination/leading/RoomLeases.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -15,6 +15,9 @@
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Tuning;
+import notchpick.coordination.membership.Peers;
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.Placed;
 import notchpick.protocol.peer.Placements;
--- a/src/main/java/notchpick/coordination/Starts.java
+++ b/src/main/java/notchpick/coordination/leading/Starts.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -15,6 +15,7 @@
 import notchpick.bookkeeping.Records.Hint;
 import notchpick.bookkeeping.Roster;
 import notchpick.bookkeeping.SharedValues;
+import notchpick.coordination.Deployment;
 import notchpick.protocol.StateApi.Entry;
 import notchpick.protocol.StateApi.Listing;
 import notchpick.transport.EventLoop;
--- a/src/main/java/notchpick/coordination/TakeOver.java
+++ b/src/main/java/notchpick/coordination/leading/TakeOver.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.function.BiConsumer;
--- a/src/main/java/notchpick/coordination/Elector.java
+++ b/src/main/java/notchpick/coordination/membership/Elector.java
@@ -1,7 +1,8 @@
-package notchpick.coordination;
+package notchpick.coordination.membership;
 
 import java.util.Random;
 import notchpick.bookkeeping.Records;
+import notchpick.coordination.Deployment;
 import notchpick.protocol.Json;
 import notchpick.protocol.StateApi;
 import notchpick.protocol.StateApi.Changes;
--- a/src/main/java/notchpick/coordination/Peers.java
+++ b/src/main/java/notchpick/coordination/membership/Peers.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.membership;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import notchpick.coordination.Deployment;
 import notchpick.protocol.PeerWire;
 import notchpick.protocol.peer.Progress;
 import notchpick.protocol.peer.Pulse;
--- a/src/main/java/notchpick/coordination/Acceptances.java
+++ b/src/main/java/notchpick/coordination/users/Acceptances.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.users;
 
 import java.util.ArrayList;
 import java.util.HashSet;
--- a/src/main/java/notchpick/coordination/FrontDoor.java
+++ b/src/main/java/notchpick/coordination/users/FrontDoor.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.users;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -8,6 +8,8 @@
 import notchpick.bookkeeping.Records;
 import notchpick.bookkeeping.Records.Fate;
 import notchpick.bookkeeping.Records.JobRecord;
+import notchpick.coordination.Deployment;
+import notchpick.coordination.Fates;
 import notchpick.protocol.InvalidMessage;
 import notchpick.protocol.Json;
 import notchpick.protocol.StateApi;
--- a/src/main/java/notchpick/coordination/OpenCopy.java
+++ b/src/main/java/notchpick/coordination/users/OpenCopy.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.users;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -12,6 +12,7 @@
 import notchpick.bookkeeping.Dependencies;
 import notchpick.bookkeeping.Records;
 import notchpick.bookkeeping.Records.JobRecord;
+import notchpick.coordination.Fates;
 import notchpick.protocol.StateApi;
 import notchpick.protocol.StateApi.Change;
 import notchpick.protocol.StateApi.Changes;
--- a/src/main/java/notchpick/coordination/Prerequisites.java
+++ b/src/main/java/notchpick/coordination/users/Prerequisites.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.users;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,7 +6,8 @@
 import java.util.function.Consumer;
 import notchpick.bookkeeping.Records.Fate;
 import notchpick.bookkeeping.Records.JobRecord;
-import notchpick.coordination.OpenCopy.Told;
+import notchpick.coordination.Fates;
+import notchpick.coordination.users.OpenCopy.Told;
 import notchpick.scheduling.JobSpec;
 
 /** Looks at the jobs that a submission names: each must have been accepted, by whatever controller. */
--- a/src/test/java/notchpick/LayersTest.java
+++ b/src/test/java/notchpick/LayersTest.java
@@ -16,20 +16,45 @@
 /** The layers hold: who may know of whom, and where the users' words stop. */
 class LayersTest {
     private static final Path SOURCES = Path.of("src/main/java/notchpick");
+    private static final List<String> BELOW_COORDINATION =
+            List.of("transport", "scheduling", "protocol", "bookkeeping");
+    /** Layers, and whom each may know besides itself; below a layer lie packages of their own. */
     private static final Map<String, List<String>> MAY_KNOW = Map.of(
             "transport", List.of(),
             "scheduling", List.of(),
             "protocol", List.of("transport", "scheduling"),
             "bookkeeping", List.of("transport", "scheduling", "protocol"),
-            "coordination", List.of("transport", "scheduling", "protocol", "bookkeeping"));
-    private static final Pattern IMPORT = Pattern.compile("import (?:static )?notchpick\\.(\\w+)\\.");
+            "coordination", BELOW_COORDINATION,
+            "coordination.membership", above("coordination"),
+            "coordination.users", above("coordination", "coordination.membership"),
+            "coordination.leading", above("coordination", "coordination.membership"));
+    private static final Pattern IMPORT = Pattern.compile("import (?:static )?notchpick\\.([a-z.]+)\\.");
     private static final Pattern WIRE_WORD = Pattern.compile(
             "\"(ref|workclass|ownerDesk|jobForm|urgency|pieces?|boxKinds?|borrowed|bundle|mandate|tryNo|orderKind"
                     + "|hireSlip|waitsOn|entryNo|ledgerNo|permit|recallS|exitCause|foreman)\"");
 
+    private static List<String> above(String... coordination) {
+        return Stream.concat(BELOW_COORDINATION.stream(), Stream.of(coordination)).toList();
+    }
+
     private static List<Path> sources(String layer) throws IOException {
-        try (Stream<Path> files = Files.list(SOURCES.resolve(layer))) {
-            return files.toList();
+        try (Stream<Path> files = Files.list(SOURCES.resolve(layer.replace('.', '/')))) {
+            return files.filter(Files::isRegularFile).toList();
+        }
+    }
+
+    /** The layer that a package belongs to: parts of coordination are layers, those of others are not. */
+    private static String layerOf(String name) {
+        return MAY_KNOW.containsKey(name) ? name : name.split("\\.")[0];
+    }
+
+    @Test
+    void everyFolderIsALayer() throws IOException {
+        try (Stream<Path> folders = Files.walk(SOURCES)) {
+            List<String> unknown = folders.filter(Files::isDirectory).map(folder -> SOURCES.relativize(folder).toString())
+                    .filter(name -> !name.isEmpty() && !name.equals("app"))
+                    .map(name -> name.replace('/', '.')).filter(name -> !MAY_KNOW.containsKey(name)).toList();
+            assertEquals(List.of(), unknown);
         }
     }
 
@@ -39,7 +64,7 @@
             for (Path file : sources(layer.getKey())) {
                 Matcher matcher = IMPORT.matcher(Files.readString(file));
                 while (matcher.find()) {
-                    String known = matcher.group(1);
+                    String known = layerOf(matcher.group(1));
                     assertTrue(known.equals(layer.getKey()) || layer.getValue().contains(known),
                             file + " knows " + known);
                 }
@@ -58,7 +83,8 @@
 
     @Test
     void theUsersWordsStayInProtocol() throws IOException {
-        for (String layer : List.of("transport", "scheduling", "bookkeeping", "coordination", "app")) {
+        for (String layer : List.of("transport", "scheduling", "bookkeeping", "coordination", "coordination.users",
+                "coordination.leading", "coordination.membership", "app")) {
             for (Path file : sources(layer)) {
                 Matcher matcher = WIRE_WORD.matcher(Files.readString(file));
                 assertEquals(false, matcher.find(), () -> file + ": " + matcher.group());
--- a/src/test/java/notchpick/coordination/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/leading/GrantingTest.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.leading;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,14 +12,17 @@
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Machine;
 import notchpick.bookkeeping.Roster;
+import notchpick.coordination.Deployment;
 import notchpick.coordination.Deployment.Limit;
 import notchpick.coordination.Deployment.Peer;
+import notchpick.coordination.Tuning;
+import notchpick.coordination.membership.Peers;
+import notchpick.protocol.PeerWire;
 import notchpick.protocol.peer.Envelope;
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.Placed;
 import notchpick.protocol.peer.Placements;
 import notchpick.protocol.peer.Pulse;
-import notchpick.protocol.PeerWire;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.Estimates;
 import notchpick.scheduling.FleetPlan.Pool;
--- a/src/test/java/notchpick/coordination/ElectorTest.java
+++ b/src/test/java/notchpick/coordination/membership/ElectorTest.java
@@ -1,4 +1,4 @@
-package notchpick.coordination;
+package notchpick.coordination.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
