--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -1,6 +1,7 @@
 package notchpick.app;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -9,8 +10,12 @@
 import notchpick.coordination.Tuning;
 import notchpick.coordination.leading.Leader;
 import notchpick.coordination.leading.Placer;
+import notchpick.coordination.membership.Candidacy;
 import notchpick.coordination.membership.Elector;
+import notchpick.coordination.membership.Links;
 import notchpick.coordination.membership.Peers;
+import notchpick.coordination.membership.ReportRoutes;
+import notchpick.coordination.membership.StateRoutes;
 import notchpick.coordination.users.FrontDoor;
 import notchpick.protocol.CloudApi;
 import notchpick.protocol.InvalidMessage;
@@ -21,11 +26,16 @@
 import notchpick.protocol.StateApi.Ok;
 import notchpick.protocol.UserWire;
 import notchpick.protocol.WorkerWire;
+import notchpick.protocol.WorkerWire.Report;
 import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.LinkTable;
+import notchpick.protocol.peer.Outcome;
 import notchpick.protocol.peer.Progress;
 import notchpick.protocol.peer.Pulse;
 import notchpick.protocol.peer.Relay;
 import notchpick.protocol.peer.Relayed;
+import notchpick.protocol.peer.ReportCall;
+import notchpick.protocol.peer.StateCall;
 import notchpick.scheduling.MachineType;
 import notchpick.transport.Actor;
 import notchpick.transport.Caller;
@@ -42,27 +52,27 @@
 
     private record FromOutside(Call call, Consumer<Answer> reply, long at) implements Message {}
 
-    private record FromPeer(Call call, Consumer<Answer> reply) implements Message {}
+    private record FromPeer(Call call, Consumer<Answer> reply, long at) implements Message {}
 
     private static final long STATE_TIMEOUT_MS = 1500;
     private static final long CLOUD_TIMEOUT_MS = 5000;
     private static final long TYPES_PERIOD_MS = 30_000;
     private static final long RETRY_MS = 500;
     private static final long RELAY_TIMEOUT_MS = 2000;
-    /** A worker waits this long for an answer. */
-    private static final long WORKER_PATIENCE_MS = 4000;
 
     private final Deployment deployment;
     private final Tuning tuning;
     private final StateApi state;
     private final CloudApi cloud;
+    private final Links links;
+    private final StateRoutes routes;
     private final Elector elector;
+    private final ReportRoutes reportRoutes;
     private final Peers peers;
     private final FrontDoor frontDoor;
     private final long leaderLeaseMs;
     private Leader leader;
     private List<MachineType> types;
-    private int redirects;
 
     public Controller(EventLoop loop, Deployment deployment, Tuning tuning, Caller caller, Random random) {
         super(loop);
@@ -70,11 +80,15 @@
         this.tuning = tuning;
         Caller inTurn = (call, timeoutMs, then) -> caller.call(call, timeoutMs, here(then));
         this.leaderLeaseMs = (long) (deployment.workerLeaseS() * 1000 * tuning.leaderLeaseRatio());
-        this.state = new StateApi(inTurn, loop, deployment.stateAddress(), STATE_TIMEOUT_MS,
+        this.links = new Links(loop, deployment);
+        this.peers = new Peers(loop, deployment, inTurn, this::pulse, this::heard, links, this::linkTable);
+        this.routes = new StateRoutes(loop, inTurn, links, peers, leaderLeaseMs);
+        this.state = new StateApi(routes, loop, deployment.stateAddress(), STATE_TIMEOUT_MS,
                 deployment.requestsPerS());
         this.cloud = new CloudApi(inTurn, deployment.cloudAddress(), CLOUD_TIMEOUT_MS);
-        this.elector = new Elector(loop, deployment.node(), state, random, leaderLeaseMs, this);
-        this.peers = new Peers(loop, deployment, inTurn, this::pulse, this::heard);
+        this.elector = new Elector(loop, deployment.node(), state, random, leaderLeaseMs,
+                new Candidacy(links, peers, routes, (long) (deployment.reportS() * 1000), leaderLeaseMs), this);
+        this.reportRoutes = new ReportRoutes(loop, deployment, elector, peers, links);
         this.frontDoor = new FrontDoor(loop, deployment, state, this::progress);
     }
 
@@ -85,7 +99,7 @@
 
     /** Serves the other controllers. */
     public void servePeer(Call call, Consumer<Answer> reply) {
-        tell(new FromPeer(call, reply));
+        tell(new FromPeer(call, reply, loop.now()));
     }
 
     @Override
@@ -93,34 +107,35 @@
         if (message instanceof Begin) {
             elector.tell(new Elector.Begin());
             peers.tell(new Peers.Begin());
+            reportRoutes.tell(new ReportRoutes.Begin());
             learnTypes();
-            every((long) (deployment.reportS() * 1000), () -> redirects /= 2);
         } else if (message instanceof FromOutside outside) {
             outside(outside.call(), outside.reply(), outside.at());
         } else if (message instanceof FromPeer peer) {
-            peer(peer.call(), peer.reply());
+            peer(peer.call(), peer.reply(), peer.at());
         }
     }
 
     private void outside(Call call, Consumer<Answer> reply, long at) {
         String path = call.path();
         if (path.equals("/hello")) {
-            if (loop.now() - at > WORKER_PATIENCE_MS) {
+            if (loop.now() - at > WorkerWire.PATIENCE_MS) {
                 // Its worker has given it up; to look at it would only make the next ones late too.
                 reply.accept(new Answer(503, new byte[0]));
             } else if (call.method().equals("POST")) {
-                report(call, reply);
+                report(call, reply, at);
             } else {
                 reply.accept(new Answer(405, new byte[0]));
             }
         } else if (path.equals("/ready")) {
+            links.usersHeard();
             reply.accept(new Answer(call.method().equals("GET") ? isReady() ? 200 : 503 : 405, new byte[0]));
         } else if (elector.isForeign()) {
             reply.accept(new Answer(503, Json.bytes(UserWire.error("records of another version")), 1));
         } else if (!state.reachable() && peers.withState() != null) {
             // Cut off from the state service while a peer is not: let the peer answer.
             peers.relay(peers.withState(), call, RELAY_TIMEOUT_MS, answer -> reply.accept(
-                    answer.status() != 0 ? answer
+                    !answer.isNone() ? answer
                             : new Answer(503, Json.bytes(UserWire.error("no state service")), 1)));
         } else {
             frontDoor.tell(new FrontDoor.Request(call, reply));
@@ -132,27 +147,65 @@
         return frontDoor.ready() && !elector.isForeign() && (state.reachable() || peers.withState() == null);
     }
 
-    private void report(Call call, Consumer<Answer> reply) {
-        if (leader != null) {
+    private void report(Call call, Consumer<Answer> reply, long at) {
+        if (leader == null) {
+            reportRoutes.tell(new ReportRoutes.Came(call, reply, at));
+            return;
+        }
+        try {
+            Report report = WorkerWire.report(Json.object(call.body()));
+            links.workerHeard(report.zone());
+            leader.tell(new Leader.Reported(report, reply, false));
+        } catch (InvalidMessage e) {
+            reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
+        }
+    }
+
+    /** A report that another controller passes on. It goes no further from here. */
+    private void passedReport(ReportCall passed, Consumer<Answer> reply, long at) {
+        if (loop.now() - at > passed.getPatienceMs()) {
+            reply.accept(new Answer(503, new byte[0]));
+        } else if (leader == null) {
+            String known = deployment.node().equals(elector.leader()) ? null : elector.leader();
+            reply.accept(new Answer(421, Json.bytes(WorkerWire.redirect(known))));
+        } else {
             try {
-                leader.tell(new Leader.Reported(WorkerWire.report(Json.object(call.body())), reply));
+                leader.tell(new Leader.Reported(WorkerWire.report(Json.object(bytes(passed.getContent()))), reply, true));
             } catch (InvalidMessage e) {
                 reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
             }
-            return;
         }
-        redirects++;
-        String known = deployment.node().equals(elector.leader()) ? null : elector.leader();
-        reply.accept(new Answer(421, Json.bytes(WorkerWire.redirect(known))));
     }
 
-    private void peer(Call call, Consumer<Answer> reply) {
+    private static byte[] bytes(ByteBuffer buffer) {
+        if (buffer == null) {
+            return null;
+        }
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return bytes;
+    }
+
+    /** Tells a controller what came of a call that it had this one make. */
+    private static Consumer<Answer> outcome(Consumer<Answer> reply) {
+        return answer -> reply.accept(new Answer(200,
+                PeerWire.bytes(new Outcome(answer.status(), ByteBuffer.wrap(answer.body())))));
+    }
+
+    private void peer(Call call, Consumer<Answer> reply, long at) {
         Object body = call.path().equals(PeerWire.PATH) ? PeerWire.body(call.body()) : null;
         if (body instanceof Pulse pulse) {
             peers.tell(new Peers.Heard(pulse));
             reply.accept(new Answer(200, PeerWire.bytes(pulse(List.of()))));
         } else if (body instanceof Grant grant) {
             reply.accept(new Answer(200, PeerWire.bytes(Placer.place(grant, deployment.node()))));
+        } else if (body instanceof ReportCall passed) {
+            passedReport(passed, outcome(reply), at);
+        } else if (body instanceof StateCall passed) {
+            state.pass(passed.getMethod(), passed.getPath(), bytes(passed.getContent()),
+                    passed.getTimeoutMs() - (loop.now() - at), outcome(reply));
+        } else if (body instanceof LinkTable table) {
+            peers.tell(new Peers.LinksTold(table, own -> reply.accept(new Answer(200, PeerWire.bytes(own)))));
         } else if (body instanceof Relay relay) {
             byte[] content = relay.getContent().getBytes(java.nio.charset.StandardCharsets.UTF_8);
             Call relayed = new Call(null, relay.getMethod(), relay.getPath(), content);
@@ -169,7 +222,14 @@
     }
 
     private Pulse pulse(List<Progress> progress) {
-        return new Pulse(deployment.node(), elector.term(), elector.leader(), state.reachable(), redirects, progress);
+        // Others pass calls on by this controller only where it needs nobody for them itself.
+        return new Pulse(deployment.node(), elector.term(), elector.leader(), state.reachable() && routes.by() == null,
+                reportRoutes.redirects(), progress);
+    }
+
+    private LinkTable linkTable() {
+        return new LinkTable(deployment.node(), elector.term(), elector.leader(), routes.by(), peers.lagMs(),
+                links.rows());
     }
 
     private void heard(Pulse pulse) {
@@ -230,7 +290,7 @@
 
     @Override
     public void elected(long term, long version, long claimUntil) {
-        leader = new Leader(loop, deployment, tuning, state, cloud, peers, leaderLeaseMs, term, version, claimUntil,
+        leader = new Leader(loop, deployment, tuning, state, cloud, peers, routes::detourMs, leaderLeaseMs, term, version, claimUntil,
                 why -> elector.tell(new Elector.GiveWay(why)));
         if (types != null) {
             leader.tell(new Leader.TypesKnown(types));
--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import notchpick.bookkeeping.Binding;
 import notchpick.bookkeeping.Job;
 import notchpick.bookkeeping.Ledger;
@@ -14,6 +15,7 @@
 import notchpick.bookkeeping.Roster;
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.membership.Candidacy;
 import notchpick.coordination.membership.Peers;
 import notchpick.protocol.CloudApi;
 import notchpick.protocol.StateApi;
@@ -39,7 +41,8 @@
 
     public record TypesKnown(List<MachineType> types) implements Message {}
 
-    public record Reported(Report report, Consumer<Answer> reply) implements Message {}
+    /** @param passed whether it has come by another controller */
+    public record Reported(Report report, Consumer<Answer> reply, boolean passed) implements Message {}
 
     /** What arrives within this part of a report period is granted in one round. */
     private static final double ROUND_RATIO = 0.01;
@@ -51,6 +54,7 @@
     private final StateApi state;
     private final CloudApi cloud;
     private final Peers peers;
+    private final LongSupplier detourMs;
     private final Consumer<String> giveWay;
     private final long term;
     private final long graceMs;
@@ -65,28 +69,36 @@
     private final Reports reports;
     private final TakeOver takeOver;
     private long claimUntil;
+    /** When the claim last stood again after it had lapsed. */
+    private long regainedAt = Long.MIN_VALUE / 2;
     private long tickedAt;
     /** When this controller last stood still, the end of that. */
     private long awakeSince;
     private boolean begun;
     private boolean loaded;
     private long lastReportAt;
+    /** When a worker last reported here by itself. */
+    private long lastDirectAt;
     private long bypassedSince;
     private boolean roundDue;
     private long rounds;
 
+    /** @param detourMs how long the state service has been reached through another controller */
     public Leader(EventLoop loop, Deployment deployment, Tuning tuning, StateApi state, CloudApi cloud, Peers peers,
-            long leaderLeaseMs, long term, long version, long claimUntil, Consumer<String> giveWay) {
+            LongSupplier detourMs, long leaderLeaseMs, long term, long version, long claimUntil,
+            Consumer<String> giveWay) {
         super(loop);
         this.deployment = deployment;
         this.tuning = tuning;
         this.state = state;
         this.cloud = cloud;
         this.peers = peers;
+        this.detourMs = detourMs;
         this.giveWay = giveWay;
         this.term = term;
         this.claimUntil = claimUntil;
         this.lastReportAt = loop.now();
+        this.lastDirectAt = loop.now();
         this.bypassedSince = loop.now();
         this.awakeSince = loop.now();
         this.graceMs = deployment.graceMs(leaderLeaseMs / 1000.0);
@@ -125,6 +137,9 @@
     @Override
     protected void receive(Message message) {
         if (message instanceof ClaimRenewed renewed) {
+            if (!holdsClaim()) {
+                regainedAt = loop.now();
+            }
             claimUntil = renewed.until();
         } else if (message instanceof TypesKnown known) {
             fleet.typesKnown(known.types());
@@ -133,6 +148,7 @@
                 takeOver.begin();
             }
         } else if (message instanceof Reported reported) {
+            lastDirectAt = reported.passed() ? lastDirectAt : loop.now();
             report(reported.report(), reported.reply());
         } else if (message instanceof Depose) {
             reports.refuseAll();
@@ -235,7 +251,7 @@
             }
             reports.judge(machine, now);
         }
-        if (now - Math.max(jobs.watchedAt(), awakeSince) > deployment.cancelS() * 250) {
+        if (now - Math.max(jobs.watchedAt(), awakeSince) > deployment.cancelS() * 250 && !isExcused(now)) {
             giveWay.accept("cancellations can't be read");
         }
         // One worker that has just come up, and asks its way to the leader, is no sign of a cut.
@@ -244,6 +260,12 @@
         } else if (now - bypassedSince > deployment.workerLeaseS() * 300) {
             giveWay.accept("workers don't reach it, but do reach others");
         }
+        double leaningMs = Candidacy.LEANING_LEASES * deployment.workerLeaseS() * 1000;
+        if (now - Math.max(lastDirectAt, awakeSince) > leaningMs && now - lastReportAt < deployment.reportS() * 1000) {
+            giveWay.accept("workers reach it only through others");
+        } else if (detourMs.getAsLong() > leaningMs) {
+            giveWay.accept("it reaches the state service only through others");
+        }
         if (holdsClaim()) {
             starts.tidy();
             jobs.tidy();
@@ -253,6 +275,14 @@
         }
     }
 
+    /**
+     * In an outage nobody can read cancellations, nor be elected: to give way would only end the grace in which
+     * reports are answered. When it is over, they come within a report's time, or another one shall read them.
+     */
+    private boolean isExcused(long now) {
+        return holdsClaim() ? now - regainedAt < deployment.reportS() * 1000 : now < claimUntil + graceMs;
+    }
+
     private void reviewFleet() {
         if (holdsClaim()) {
             noteStandstill(loop.now());
--- a/src/main/java/notchpick/coordination/membership/Elector.java
+++ b/src/main/java/notchpick/coordination/membership/Elector.java
@@ -1,6 +1,7 @@
 package notchpick.coordination.membership;
 
 import java.util.Random;
+import java.util.function.LongSupplier;
 import notchpick.bookkeeping.Records;
 import notchpick.coordination.Deployment;
 import notchpick.protocol.Json;
@@ -48,6 +49,7 @@
     private final Listener listener;
     private final long leaseMs;
     private final long pollMs;
+    private final LongSupplier handicapMs;
 
     private boolean leading;
     private long lease;
@@ -57,16 +59,21 @@
     private long tenure;
     private boolean foreign;
     private boolean watching;
+    /** Since when nobody has been seen to lead; 0: somebody is. */
+    private long vacantSince;
     /** Counts the looks that were put off; a newer one takes the place of an older. */
     private long looks;
 
-    public Elector(EventLoop loop, String node, StateApi state, Random random, long leaseMs, Listener listener) {
+    /** @param handicapMs how long to leave the field to those that are better connected */
+    public Elector(EventLoop loop, String node, StateApi state, Random random, long leaseMs, LongSupplier handicapMs,
+            Listener listener) {
         super(loop);
         this.node = node;
         this.state = state;
         this.random = random;
         this.leaseMs = leaseMs;
         this.pollMs = leaseMs / 12;
+        this.handicapMs = handicapMs;
         this.listener = listener;
     }
 
@@ -149,10 +156,15 @@
         if (leading) {
             return;
         }
-        state.get(Records.LEADER, here(result -> {
+        state.getHastily(Records.LEADER, here(result -> {
             if (leading) {
                 return;
             }
+            if (!(result instanceof Missing<Entry>)) {
+                vacantSince = 0;
+            } else if (vacantSince == 0) {
+                vacantSince = loop.now();
+            }
             if (result instanceof Ok<Entry> ok) {
                 String holder = ok.value().value().path("node").asText();
                 long known = ok.value().value().path("term").asLong();
@@ -168,7 +180,8 @@
                 }
                 watch(ok.value().version());
                 lookLater();
-            } else if (result instanceof Missing<Entry> && loop.now() >= standAsideUntil) {
+            } else if (result instanceof Missing<Entry> && loop.now() >= standAsideUntil
+                    && loop.now() - vacantSince >= handicapMs.getAsLong()) {
                 stand();
             } else {
                 if (result instanceof Missing<Entry>) {
--- /dev/null
+++ b/src/main/java/notchpick/coordination/membership/Link.java
@@ -0,0 +1,85 @@
+package notchpick.coordination.membership;
+
+import notchpick.protocol.peer.LinkCondition;
+import notchpick.transport.Caller.Answer;
+
+/** One link of this controller, judged by the traffic that flows over it anyway. */
+final class Link {
+    /** The newest delay weighs so much in the mean. */
+    private static final double NEWEST = 0.2;
+    private static final int TURNED_AWAY = 503;
+
+    private final long periodMs;
+    private LinkCondition condition = LinkCondition.UNKNOWN;
+    private long at = -1;
+    private double delayMs = -1;
+    private long periodStart;
+    private int signs;
+    private double perS;
+
+    /** @param periodMs what the rate of signs is counted over */
+    Link(long periodMs) {
+        this.periodMs = periodMs;
+    }
+
+    /** A call over this link came to an end. */
+    void ended(Answer answer, long sentAt, long now) {
+        if (answer.equals(Answer.UNSENT)) {
+            condition = LinkCondition.REFUSED;
+        } else if (answer.isNone()) {
+            condition = LinkCondition.SILENT;
+        } else {
+            sign(now);
+            condition = answer.status() == TURNED_AWAY ? LinkCondition.TURNED_AWAY : LinkCondition.UP;
+            double delay = now - sentAt;
+            delayMs = delayMs < 0 ? delay : delayMs + NEWEST * (delay - delayMs);
+        }
+    }
+
+    /** Something came in over this link. */
+    void heard(long now) {
+        sign(now);
+        condition = LinkCondition.UP;
+    }
+
+    private void sign(long now) {
+        count(now);
+        signs++;
+        at = now;
+    }
+
+    private void count(long now) {
+        long span = now - periodStart;
+        if (span >= periodMs) {
+            // A period without any sign leaves nothing of what was counted before it.
+            perS = span < 2 * periodMs ? signs * 1000.0 / span : 0;
+            signs = 0;
+            periodStart = now;
+        }
+    }
+
+    /** That nothing is known of a link does not say that it is down. */
+    LinkCondition condition() {
+        return condition;
+    }
+
+    /** Whether the last sign came within this time; false if there never was one. */
+    boolean isFresh(long now, long withinMs) {
+        return at >= 0 && now - at <= withinMs;
+    }
+
+    /** Since the last sign; -1: there never was one. */
+    long ageMs(long now) {
+        return at < 0 ? -1 : now - at;
+    }
+
+    /** -1: not known. */
+    long delayMs() {
+        return Math.round(delayMs);
+    }
+
+    double perS(long now) {
+        count(now);
+        return perS;
+    }
+}
--- a/src/main/java/notchpick/coordination/membership/Peers.java
+++ b/src/main/java/notchpick/coordination/membership/Peers.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import notchpick.coordination.Deployment;
 import notchpick.protocol.PeerWire;
+import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Progress;
 import notchpick.protocol.peer.Pulse;
 import notchpick.protocol.peer.Relay;
@@ -27,24 +28,47 @@
 
     public record Heard(Pulse pulse) implements Message {}
 
+    /** A peer has told its links; gives this controller's own. */
+    public record LinksTold(LinkTable table, Consumer<LinkTable> reply) implements Message {}
+
     private record Last(Pulse pulse, long at) {}
 
+    private record Told(LinkTable table, long at) {}
+
+    /** Who has not been heard of for so many signs of life counts as gone, wherever that only moves liveness. */
+    private static final int FRESH_PULSES = 3;
+    /** Links are told once in so many signs of life: a report period. */
+    private static final int PULSES_FOR_LINKS = 4;
+
     private final Deployment deployment;
     private final Caller caller;
     private final Supplier<Pulse> own;
     private final Consumer<Pulse> heard;
+    private final Links links;
+    private final Supplier<LinkTable> ownLinks;
     private final long periodMs;
+    private final Map<String, Told> told = new HashMap<>();
     private final Map<String, Last> last = new HashMap<>();
     /** Counts of open jobs as a leader last told them. */
     private final Map<String, Progress> progress = new HashMap<>();
     private Last shown;
-
-    public Peers(EventLoop loop, Deployment deployment, Caller caller, Supplier<Pulse> own, Consumer<Pulse> heard) {
+    private long pulsedAt;
+    private long lagMs;
+
+    /**
+     * @param own what this controller's signs of life say
+     * @param heard hears those of others
+     * @param ownLinks what this controller tells of its links
+     */
+    public Peers(EventLoop loop, Deployment deployment, Caller caller, Supplier<Pulse> own, Consumer<Pulse> heard,
+            Links links, Supplier<LinkTable> ownLinks) {
         super(loop);
         this.deployment = deployment;
         this.caller = caller;
         this.own = own;
         this.heard = heard;
+        this.links = links;
+        this.ownLinks = ownLinks;
         this.periodMs = (long) (deployment.reportS() * 1000 / 4);
     }
 
@@ -52,15 +76,61 @@
     protected void receive(Message message) {
         if (message instanceof Begin) {
             every(periodMs, this::pulse);
+            every(PULSES_FOR_LINKS * periodMs, this::tellLinks);
         } else if (message instanceof Heard news) {
             hear(news.pulse());
+        } else if (message instanceof LinksTold news) {
+            note(news.table());
+            news.reply().accept(ownLinks.get());
+        }
+    }
+
+    private void note(LinkTable table) {
+        if (address(table.getNode()) != null) {
+            told.put(table.getNode(), new Told(table, loop.now()));
+        }
+    }
+
+    /** A controller of a version that knows of no links refuses the message, and is not counted on to pass calls. */
+    private void tellLinks() {
+        LinkTable table = ownLinks.get();
+        for (Deployment.Peer peer : deployment.peers()) {
+            ask(peer.node(), table, 2 * periodMs, reply -> {
+                if (reply instanceof LinkTable links) {
+                    note(links);
+                }
+            });
         }
     }
 
+    /** How late this controller's last sign of life went out. */
+    public long lagMs() {
+        return lagMs;
+    }
+
+    /** What a peer has lately told of its links, or null. */
+    public LinkTable linksOf(String node) {
+        Told entry = told.get(node);
+        return entry == null || loop.now() - entry.at() > 2 * PULSES_FOR_LINKS * periodMs ? null : entry.table();
+    }
+
+    /** Whether calls to a peer are answered, and it can pass calls on. */
+    public boolean canPass(String node) {
+        return links.answers(node, FRESH_PULSES * periodMs) && linksOf(node) != null;
+    }
+
+    /** Peers that can pass calls on to the state service, which they reach themselves. */
+    List<String> wayToState() {
+        return live().stream().filter(node -> canPass(node) && last.get(node).pulse().getStateReachable()).toList();
+    }
+
     private void pulse() {
+        long now = loop.now();
+        lagMs = pulsedAt == 0 ? 0 : Math.max(0, now - pulsedAt - periodMs);
+        pulsedAt = now;
         byte[] body = PeerWire.bytes(own.get());
         for (Deployment.Peer peer : deployment.peers()) {
-            caller.call(new Call(peer.address(), "POST", PeerWire.PATH, body), 2 * periodMs, here(answer -> {
+            call(peer.node(), peer.address(), body, 2 * periodMs, here(answer -> {
                 if (answer.status() == 200 && PeerWire.body(answer.body()) instanceof Pulse pulse) {
                     hear(pulse);
                 }
@@ -80,7 +150,7 @@
     }
 
     private boolean fresh(Last entry) {
-        return entry != null && loop.now() - entry.at() <= 3 * periodMs;
+        return entry != null && loop.now() - entry.at() <= FRESH_PULSES * periodMs;
     }
 
     /** The peers that have lately been heard of. */
@@ -125,10 +195,18 @@
 
     /** Sends a message and gives what comes back, null if nothing does. */
     public void ask(String node, Object message, long timeoutMs, Consumer<Object> then) {
-        caller.call(new Call(address(node), "POST", PeerWire.PATH, PeerWire.bytes(message)), timeoutMs,
+        call(node, address(node), PeerWire.bytes(message), timeoutMs,
                 here(answer -> then.accept(answer.status() == 200 ? PeerWire.body(answer.body()) : null)));
     }
 
+    private void call(String node, String address, byte[] body, long timeoutMs, Consumer<Answer> then) {
+        long sentAt = loop.now();
+        caller.call(new Call(address, "POST", PeerWire.PATH, body), timeoutMs, answer -> {
+            links.peerEnded(node, answer, sentAt);
+            then.accept(answer);
+        });
+    }
+
     /** Passes a user's request on to a peer. */
     public void relay(String node, Call call, long timeoutMs, Consumer<Answer> then) {
         String content = call.body() == null ? "" : new String(call.body(), java.nio.charset.StandardCharsets.UTF_8);
--- a/src/main/java/notchpick/protocol/StateApi.java
+++ b/src/main/java/notchpick/protocol/StateApi.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import notchpick.transport.Caller;
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.Caller.Call;
 import notchpick.transport.EventLoop;
@@ -21,7 +20,9 @@
     /** This part of a second's requests is kept for what can't wait. */
     private static final double RESERVED = 0.3;
 
-    private final Caller caller;
+    private static final String HOLDS = "/holds";
+
+    private final StateWay way;
     private final EventLoop loop;
     private final String target;
     private final long timeoutMs;
@@ -33,8 +34,8 @@
     private int failures;
 
     /** @param requestsPerS this controller's part of what all may send */
-    public StateApi(Caller caller, EventLoop loop, String target, long timeoutMs, double requestsPerS) {
-        this.caller = caller;
+    public StateApi(StateWay way, EventLoop loop, String target, long timeoutMs, double requestsPerS) {
+        this.way = way;
         this.loop = loop;
         this.target = target;
         this.timeoutMs = timeoutMs;
@@ -124,7 +125,17 @@
     }
 
     public void get(String key, Consumer<Result<Entry>> then) {
-        send("GET", "/keys/" + key, null, timeoutMs, false, answer -> then.accept(read(answer, body -> entry(body))));
+        get(key, false, then);
+    }
+
+    /** Reads a key of which the newest must be known soon, by whatever way there is. */
+    public void getHastily(String key, Consumer<Result<Entry>> then) {
+        get(key, true, then);
+    }
+
+    private void get(String key, boolean hasty, Consumer<Result<Entry>> then) {
+        send("GET", "/keys/" + key, null, timeoutMs, false, hasty,
+                answer -> then.accept(read(answer, body -> entry(body))));
     }
 
     public void list(String prefix, String after, int limit, Consumer<Result<Listing>> then) {
@@ -176,12 +187,12 @@
 
     public void grantLease(long lifeMs, Consumer<Result<Long>> then) {
         byte[] body = Json.bytes(Json.object().put("lifeMs", lifeMs));
-        send("POST", "/holds", body, timeoutMs, true,
+        send("POST", HOLDS, body, timeoutMs, true,
                 answer -> then.accept(read(answer, node -> node.path("permit").asLong())));
     }
 
     public void renewLease(long lease, Consumer<Result<Boolean>> then) {
-        send("POST", "/holds/" + lease + "/touch", Json.bytes(Json.object()), timeoutMs, true, answer -> {
+        send("POST", HOLDS + "/" + lease + "/touch", Json.bytes(Json.object()), timeoutMs, true, true, answer -> {
             if (answer.status() / 100 == 2) {
                 then.accept(new Ok<>(true));
             } else {
@@ -191,7 +202,7 @@
     }
 
     public void endLease(long lease, Consumer<Boolean> then) {
-        send("DELETE", "/holds/" + lease, null, timeoutMs, true,
+        send("DELETE", HOLDS + "/" + lease, null, timeoutMs, true,
                 answer -> then.accept(answer.status() / 100 == 2 || answer.status() == 404));
     }
 
@@ -242,16 +253,40 @@
                 node.path("permit").asLong());
     }
 
-    private void send(String method, String path, byte[] body, long timeout, boolean urgent, Consumer<Answer> then) {
+    /**
+     * Carries out what a controller asks for that can't reach the state service itself; it counts against this
+     * one's part of the requests.
+     */
+    public void pass(String method, String path, byte[] body, long timeout, Consumer<Answer> then) {
+        if (takes(path.startsWith(HOLDS))) {
+            way.sendHere(new Call(target, method, path, body), timeout, then);
+        } else {
+            then.accept(new Answer(429, new byte[0]));
+        }
+    }
+
+    /** Whether a request is within this controller's part. Leases must not lapse because of anything else asked. */
+    private boolean takes(boolean urgent) {
         refill();
-        // Leases must not lapse because of anything else that is asked.
         if (budget < 1 && !urgent) {
+            return false;
+        }
+        budget = Math.max(0, budget - 1);
+        return true;
+    }
+
+    private void send(String method, String path, byte[] body, long timeout, boolean urgent, Consumer<Answer> then) {
+        send(method, path, body, timeout, urgent, false, then);
+    }
+
+    private void send(String method, String path, byte[] body, long timeout, boolean urgent, boolean hasty,
+            Consumer<Answer> then) {
+        if (!takes(urgent)) {
             then.accept(new Answer(429, new byte[0]));
             return;
         }
-        budget = Math.max(0, budget - 1);
-        caller.call(new Call(target, method, path, body), timeout, answer -> {
-            if (answer.status() == 0 || answer.status() == 503) {
+        way.send(new Call(target, method, path, body), timeout, hasty, answer -> {
+            if (answer.isNone() || answer.status() == 503) {
                 failures++;
             } else {
                 answered = true;
--- a/src/main/java/notchpick/protocol/WorkerWire.java
+++ b/src/main/java/notchpick/protocol/WorkerWire.java
@@ -8,6 +8,9 @@
 
 /** What workers report and are told. */
 public final class WorkerWire {
+    /** A worker waits this long for an answer. */
+    public static final long PATIENCE_MS = 4000;
+
     private WorkerWire() {}
 
     public enum Phase { FETCHING, RUNNING, SAVING, EXITED }
--- a/src/main/java/notchpick/transport/Caller.java
+++ b/src/main/java/notchpick/transport/Caller.java
@@ -4,18 +4,27 @@
 
 /** Calls other processes over HTTP. */
 public interface Caller {
-    /** Calls back exactly once, with {@link Answer#NONE} when no answer came in time. */
+    /**
+     * Calls back exactly once: with {@link Answer#NONE} when no answer came in time, with {@link Answer#UNSENT}
+     * when the connection was refused, so that the request surely has not been sent.
+     */
     void call(Call call, long timeoutMs, Consumer<Answer> then);
 
     /** A request; target is {@code address:port}, path includes the query. */
     record Call(String target, String method, String path, byte[] body) {}
 
-    /** A response; status 0 stands for none. */
+    /** A response; a status of 0 or less stands for none. */
     record Answer(int status, byte[] body, int retryAfterS) {
         public static final Answer NONE = new Answer(0, new byte[0], 0);
+        public static final Answer UNSENT = new Answer(-1, new byte[0], 0);
 
         public Answer(int status, byte[] body) {
             this(status, body, 0);
         }
+
+        /** Whether there was no answer of any kind. */
+        public boolean isNone() {
+            return status <= 0;
+        }
     }
 }
--- a/src/main/java/notchpick/transport/JettyCaller.java
+++ b/src/main/java/notchpick/transport/JettyCaller.java
@@ -1,5 +1,6 @@
 package notchpick.transport;
 
+import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -71,7 +72,7 @@
                 @Override
                 public void onComplete(Result result) {
                     if (result.isFailed()) {
-                        then.accept(Answer.NONE);
+                        then.accept(result.getFailure() instanceof ConnectException ? Answer.UNSENT : Answer.NONE);
                         return;
                     }
                     byte[] body = getContent();
--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -21,6 +21,7 @@
 import notchpick.scheduling.MachineType;
 import notchpick.standin.CloudStandIn.Listing;
 import notchpick.standin.Network.Cut;
+import notchpick.standin.WorkerStandIn;
 import notchpick.standin.World;
 import notchpick.standin.World.Limits;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,7 +34,10 @@
 class ScenarioTest {
     static Stream<Path> scenarios() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
-            return files.filter(file -> file.toString().endsWith(".txt")).sorted().toList().stream();
+            // -Dscenario=WORD plays only those with this word in their names.
+            return files.filter(file -> file.toString().endsWith(".txt"))
+                    .filter(file -> file.getFileName().toString().contains(System.getProperty("scenario", "")))
+                    .sorted().toList().stream();
         }
     }
 
@@ -92,8 +96,9 @@
         assertTrue(world.rules().starts() > 0, "nothing_ran");
     }
 
+    /** A controller by its own name, as who leads now, or by a name given earlier in the scenario. */
     private static String node(World world, String word) {
-        return word.equals("leader") ? world.leader() : word;
+        return word.equals("leader") ? world.leader() : world.named(word);
     }
 
     private static String machine(World world, String word) {
@@ -130,10 +135,17 @@
             case "storm" -> world.storm(first, Integer.parseInt(words[4]));
             case "boots" -> world.cloud().boots(Double.parseDouble(first));
             case "cut" -> {
-                Cut how = words[words.length - 1].equals("reset") ? Cut.RESET : Cut.HOLD;
+                Cut how = Cut.valueOf(words[5].toUpperCase());
                 ends(world, first, words[4]).forEach(pair -> world.network().cut(pair[0], pair[1], how));
             }
+            // Requests of the first to the second still pass, or answers do.
+            case "cut-answers" -> ends(world, first, words[4]).forEach(
+                    pair -> world.network().cutOneWay(pair[1], pair[0], Cut.HOLD));
+            case "cut-requests" -> ends(world, first, words[4]).forEach(
+                    pair -> world.network().cutOneWay(pair[0], pair[1], Cut.HOLD));
             case "heal" -> ends(world, first, words[4]).forEach(pair -> world.network().heal(pair[0], pair[1]));
+            case "name" -> world.name(first, node(world, words[4]));
+            case "watch-pauses" -> world.rules().watchPauses();
             case "outage" -> world.state().outage(first.equals("on"));
             case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
             case "pages" -> world.state().pages(Integer.parseInt(first));
@@ -165,10 +177,9 @@
         String from = node(world, one);
         List<String[]> pairs = new ArrayList<>();
         switch (other) {
-            case "workers" -> world.machines().forEach(machine -> pairs.add(new String[] {from, machine}));
             case "peers" -> world.nodes().stream().filter(node -> !node.equals(from))
                     .forEach(node -> pairs.add(new String[] {from, node}));
-            default -> pairs.add(new String[] {from, other});
+            default -> pairs.add(new String[] {from, node(world, other)});
         }
         return pairs;
     }
@@ -218,6 +229,7 @@
 
     private static void submit(World world, String job, Map<String, String> options) throws InvalidMessage {
         world.submit(submission(job, options), Double.parseDouble(options.getOrDefault("run", "20")),
+                Double.parseDouble(options.getOrDefault("vary", "0")),
                 options.containsKey("fails"));
     }
 
@@ -233,6 +245,13 @@
                     assertTrue(world.leader() != null, where);
                 }
             }
+            case "killed-by-lease" -> assertTrue(world.rules().killedByLease() <= Integer.parseInt(words[5]), () ->
+                    where + ": " + world.rules().killedByLease());
+            case "pause" -> assertTrue(world.rules().longestPauseMs() <= 1000 * Double.parseDouble(words[5]), () ->
+                    where + ": " + world.rules().longestPauseMs() / 1000.0);
+            case "running" -> assertTrue(world.workers().stream().mapToInt(WorkerStandIn::live).sum()
+                    >= Integer.parseInt(words[5]), () -> where + ": "
+                    + world.workers().stream().mapToInt(WorkerStandIn::live).sum());
             case "machines" -> assertTrue(world.cloud().machines().size() <= Integer.parseInt(words[5]), () ->
                     where + ": " + world.cloud().machines().size());
             case "starts" -> assertTrue(world.rules().starts() <= Integer.parseInt(words[5]), () ->
--- a/src/test/java/notchpick/bookkeeping/ProductionFormsTest.java
+++ b/src/test/java/notchpick/bookkeeping/ProductionFormsTest.java
@@ -3,12 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -25,15 +27,21 @@
 import notchpick.protocol.PeerWire;
 import notchpick.protocol.peer.Envelope;
 import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.LinkTable;
+import notchpick.protocol.peer.Outcome;
 import notchpick.protocol.peer.Placements;
 import notchpick.protocol.peer.Pulse;
 import notchpick.protocol.peer.Relay;
 import notchpick.protocol.peer.Relayed;
+import notchpick.protocol.peer.ReportCall;
+import notchpick.protocol.peer.StateCall;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobSpec;
 import org.apache.avro.Schema;
 import org.apache.avro.SchemaNormalization;
+import org.apache.avro.generic.GenericDatumReader;
+import org.apache.avro.io.DecoderFactory;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -156,8 +164,32 @@
         }
         assertEquals(kinds.keySet(), read.keySet());
         assertFalse(((Pulse) read.get("Pulse")).getProgress().isEmpty());
-        Schema old = new Schema.Parser().parse(new File(FOLDER.resolve("peer.avsc").toString()));
-        assertEquals(SchemaNormalization.toParsingForm(old),
-                SchemaNormalization.toParsingForm(Envelope.getClassSchema()));
+        Schema old = productionSchema();
+        List<Schema> union = Envelope.getClassSchema().getField("body").schema().getTypes();
+        List<Schema> oldUnion = old.getField("body").schema().getTypes();
+        Schema known = Schema.createRecord(old.getName(), null, old.getNamespace(), false, List.of(
+                new Schema.Field("body", Schema.createUnion(union.subList(0, oldUnion.size())))));
+        assertEquals(SchemaNormalization.toParsingForm(old), SchemaNormalization.toParsingForm(known));
+    }
+
+    private static Schema productionSchema() throws IOException {
+        return new Schema.Parser().parse(new File(FOLDER.resolve("peer.avsc").toString()));
+    }
+
+    /** Kinds that came later stand at the union's end; the version in production takes none of them for another. */
+    @Test
+    void laterMessagesAreRefusedByIt() throws IOException {
+        ByteBuffer content = ByteBuffer.wrap(new byte[] {1, 2, 3});
+        List<Object> later = List.of(new ReportCall(4000L, content), new StateCall("GET", "/x", null, 1500L),
+                new Outcome(200, content), new LinkTable("n-0", 1L, null, null, 0L, List.of()));
+        Schema old = productionSchema();
+        assertEquals(old.getField("body").schema().getTypes().size() + later.size(),
+                Envelope.getClassSchema().getField("body").schema().getTypes().size());
+        for (Object message : later) {
+            byte[] bytes = PeerWire.bytes(message);
+            assertEquals(message, PeerWire.body(bytes));
+            assertThrows(RuntimeException.class, () -> new GenericDatumReader<>(old)
+                    .read(null, DecoderFactory.get().binaryDecoder(bytes, null)), message.getClass().getName());
+        }
     }
 }
--- a/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
+++ b/src/test/java/notchpick/bookkeeping/SharedValuesTest.java
@@ -16,6 +16,7 @@
 import notchpick.bookkeeping.Records.Hint;
 import notchpick.protocol.Json;
 import notchpick.protocol.StateApi;
+import notchpick.protocol.StateWay;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
 import notchpick.scheduling.JobSpec;
@@ -34,7 +35,7 @@
     private final Simulation simulation = new Simulation();
     private final EventLoop loop = simulation.loop(0, 0, () -> true);
     private final StateStandIn state = new StateStandIn(simulation::now, simulation::after, MAX_WRITES, 300, 60);
-    private final StateApi api = new StateApi(this::call, loop, "s:1", 1500, 250);
+    private final StateApi api = new StateApi(StateWay.direct(this::call), loop, "s:1", 1500, 250);
     private final Ledger ledger = new Ledger(api, loop, loop::after, 0, MAX_WRITES, 42, () -> { });
     private final Set<Binding> durable = new HashSet<>();
     private final SharedValues<Binding> starts = new SharedValues<>(ledger, Records.STARTS,
--- a/src/test/java/notchpick/coordination/leading/GrantingTest.java
+++ b/src/test/java/notchpick/coordination/leading/GrantingTest.java
@@ -16,6 +16,7 @@
 import notchpick.coordination.Deployment.Limit;
 import notchpick.coordination.Deployment.Peer;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.membership.Links;
 import notchpick.coordination.membership.Peers;
 import notchpick.protocol.PeerWire;
 import notchpick.protocol.peer.Envelope;
@@ -52,7 +53,7 @@
         } else {
             then.accept(Answer.NONE);
         }
-    }, () -> pulse("n-0"), pulse -> { });
+    }, () -> pulse("n-0"), pulse -> { }, new Links(loop, deployment), () -> null);
     private final RoomLeases leases = new RoomLeases(loop, deployment, Tuning.DEFAULT, roster, peers, TERM,
             bound::add, () -> { }, loop::after);
     private final Granting granting = new Granting(loop, deployment, Tuning.DEFAULT, roster, new Estimates(), leases,
--- a/src/test/java/notchpick/coordination/membership/ElectorTest.java
+++ b/src/test/java/notchpick/coordination/membership/ElectorTest.java
@@ -20,10 +20,10 @@
     private final Simulation simulation = new Simulation();
     private final EventLoop loop = simulation.loop(0, 0, () -> true);
     private final StateStandIn state = new StateStandIn(simulation::now, simulation::after, 12, 300, 100);
-    private final StateApi api = new StateApi((call, timeoutMs, then) -> simulation.after(5,
+    private final StateApi api = new StateApi((call, timeoutMs, hasty, then) -> simulation.after(5,
             () -> state.handle(call, then)), loop, "s:1", 1500, 250);
     private int elections;
-    private final Elector elector = new Elector(loop, "n-0", api, new Random(1), 3000, new Elector.Listener() {
+    private final Elector elector = new Elector(loop, "n-0", api, new Random(1), 3000, () -> 0, new Elector.Listener() {
         @Override
         public void elected(long term, long version, long claimUntil) {
             elections++;
--- a/src/test/java/notchpick/standin/Network.java
+++ b/src/test/java/notchpick/standin/Network.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,14 +18,19 @@
 public final class Network {
     private static final long LATENCY_MS = 2;
 
-    /** How a cut treats packets: hold them and deliver them late, or reset the connection. */
-    public enum Cut { HOLD, RESET }
+    /** How a cut treats packets: hold them and deliver them late, reset the connection, or refuse new ones. */
+    public enum Cut { HOLD, RESET, REFUSE }
+
+    /** Packets from one host or group to another are cut. */
+    private record Route(String from, String to) {}
 
     private final Simulation simulation;
     private final Map<String, Handler> hosts = new HashMap<>();
     private final Map<String, String> hostOf = new HashMap<>();
-    private final Map<String, Cut> cuts = new HashMap<>();
-    private final Map<String, List<Runnable>> heldBack = new HashMap<>();
+    private final Map<Route, Cut> cuts = new LinkedHashMap<>();
+    private final Map<Route, List<Runnable>> heldBack = new HashMap<>();
+    /** Names that stand for many hosts, by host. */
+    private final Map<String, Set<String>> groups = new HashMap<>();
     /** Hosts without power: what is sent to them gets no answer of any kind. */
     private final Set<String> dark = new HashSet<>();
     /** Hosts that stand still, and until when. What comes meanwhile waits in their sockets. */
@@ -55,32 +61,54 @@
         frozen.put(host, untilMs);
     }
 
+    /** A host belongs to a group, which cuts may name in its place. */
+    public void join(String host, String group) {
+        groups.computeIfAbsent(host, h -> new HashSet<>()).add(group);
+    }
+
     public void cut(String one, String other, Cut how) {
-        cuts.put(pair(one, other), how);
+        cutOneWay(one, other, how);
+        cutOneWay(other, one, how);
+    }
+
+    /** Packets the other way still pass. */
+    public void cutOneWay(String from, String to, Cut how) {
+        cuts.put(new Route(from, to), how);
     }
 
     public void heal(String one, String other) {
-        String pair = pair(one, other);
-        cuts.remove(pair);
-        List<Runnable> late = heldBack.remove(pair);
-        if (late != null) {
-            late.forEach(packet -> simulation.after(LATENCY_MS, packet));
+        for (Route route : List.of(new Route(one, other), new Route(other, one))) {
+            cuts.remove(route);
+            List<Runnable> late = heldBack.remove(route);
+            if (late != null) {
+                late.forEach(packet -> simulation.after(LATENCY_MS, packet));
+            }
         }
     }
 
-    private static String pair(String one, String other) {
-        return one.compareTo(other) < 0 ? one + " " + other : other + " " + one;
+    private boolean is(String host, String name) {
+        return host.equals(name) || groups.getOrDefault(host, Set.of()).contains(name);
+    }
+
+    /** The first cut that stands on this way, or null. */
+    private Route cutOn(String from, String to) {
+        for (Route route : cuts.keySet()) {
+            if (is(from, route.from()) && is(to, route.to())) {
+                return route;
+            }
+        }
+        return null;
     }
 
     private void carry(String from, String to, Runnable packet, Runnable reset) {
         if (dark.contains(to)) {
             return;
         }
-        Cut cut = cuts.get(pair(from, to));
+        Route cut = cutOn(from, to);
         if (cut == null) {
             simulation.after(Math.max(LATENCY_MS, frozen.getOrDefault(to, 0L) - simulation.now()), packet);
-        } else if (cut == Cut.HOLD) {
-            heldBack.computeIfAbsent(pair(from, to), p -> new ArrayList<>()).add(() -> carry(from, to, packet, reset));
+        } else if (cuts.get(cut) == Cut.HOLD) {
+            heldBack.computeIfAbsent(cut, c -> new ArrayList<>()).add(() -> carry(from, to, packet, reset));
         } else {
             simulation.after(LATENCY_MS, reset);
         }
@@ -99,10 +127,15 @@
             simulation.after(timeoutMs, () -> once.accept(Answer.NONE));
             String to = hostOf.get(call.target());
             Runnable reset = () -> once.accept(Answer.NONE);
+            Route cut = cutOn(host, to);
+            if (cut != null && cuts.get(cut) == Cut.REFUSE) {
+                simulation.after(LATENCY_MS, () -> once.accept(Answer.UNSENT));
+                return;
+            }
             carry(host, to, () -> {
                 Handler handler = hosts.get(call.target());
                 if (handler == null) {
-                    carry(to, host, reset, reset);
+                    carry(to, host, () -> once.accept(Answer.UNSENT), reset);
                     return;
                 }
                 // The state service refuses by who calls, so the caller's name goes along.
--- a/src/test/java/notchpick/standin/RuleBook.java
+++ b/src/test/java/notchpick/standin/RuleBook.java
@@ -28,6 +28,9 @@
     private final Set<String> cancelAsked = new HashSet<>();
     private final List<String> breaches = new ArrayList<>();
     private int starts;
+    private int killedByLease;
+    private long lastStartAt;
+    private long longestPauseMs;
 
     /** @param coreLimits by team; absent: none */
     public RuleBook(LongSupplier clock, long cancelMs, Map<String, Double> coreLimits) {
@@ -46,6 +49,26 @@
         return starts;
     }
 
+    /** Tasks that were killed since their worker got no answer for its whole lease. */
+    public int killedByLease() {
+        return killedByLease;
+    }
+
+    public void killedByLease(int tasks) {
+        killedByLease += tasks;
+    }
+
+    /** From now on pauses between starts are measured anew. */
+    public void watchPauses() {
+        lastStartAt = clock.getAsLong();
+        longestPauseMs = 0;
+    }
+
+    /** The longest time in which nothing started anywhere. */
+    public long longestPauseMs() {
+        return Math.max(longestPauseMs, clock.getAsLong() - lastStartAt);
+    }
+
     public boolean isComplete(String task) {
         return complete.contains(task);
     }
@@ -75,6 +98,8 @@
 
     public void started(String machine, String task, String type, String zone, boolean spot) {
         starts++;
+        longestPauseMs = longestPauseMs();
+        lastStartAt = clock.getAsLong();
         JobSpec job = jobs.get(jobOf(task));
         Running other = running.get(task);
         if (other != null) {
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -174,7 +174,7 @@
             reply.accept(new Answer(429, new byte[0]));
             return;
         }
-        if (path.equals("/changes")) {
+        if (path.equals("/changes") && !refused.contains(call.target())) {
             changes(call, reply);
             return;
         }
--- a/src/test/java/notchpick/standin/WorkerStandIn.java
+++ b/src/test/java/notchpick/standin/WorkerStandIn.java
@@ -23,7 +23,7 @@
         /** Null if there is no such job. */
         Amounts demand(String job);
 
-        long runMs(String job);
+        long runMs(String task);
 
         boolean saves(String job);
 
@@ -139,6 +139,7 @@
                 return;
             }
             if (leaseFrom == from) {
+                rules.killedByLease(live());
                 killAll();
                 session++;
                 leaseFrom = simulation.now();
@@ -288,7 +289,7 @@
         piece.startedAt = simulation.now();
         rules.started(name, piece.task, type.name(), zone, spot);
         change();
-        long rest = rules.isComplete(piece.task) ? 0 : jobs.runMs(job) - saved.getOrDefault(piece.task, 0L);
+        long rest = rules.isComplete(piece.task) ? 0 : jobs.runMs(piece.task) - saved.getOrDefault(piece.task, 0L);
         simulation.after(Math.max(10, sick ? 200 : rest), () -> {
             if (here(key, piece) && piece.state.equals("running")) {
                 rules.left(name, piece.task);
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -31,6 +31,7 @@
     public static final double REPORT_S = 3;
     public static final double LEASE_S = 20;
     public static final double CANCEL_S = 40;
+    private static final List<String> ZONES = List.of("east", "west");
     private static final String STATE = "10.2.0.1:2379";
     private static final String CLOUD = "10.2.0.2:8443";
 
@@ -38,7 +39,7 @@
     public record Limits(int valueBytes, int txnOps, double writesPerS) {}
 
     /** A job as the scenario describes it, beyond what the service is told. */
-    private record Truth(JobSpec spec, ObjectNode body, long runMs, boolean fails) {}
+    private record Truth(JobSpec spec, ObjectNode body, long runMs, double vary, boolean fails) {}
 
     private final Simulation simulation = new Simulation();
     private final Network network = new Network(simulation);
@@ -62,6 +63,7 @@
     private final StateStandIn state;
     private final CloudStandIn cloud;
     private final List<String> nodes = new ArrayList<>();
+    private final Map<String, String> names = new HashMap<>();
     private int turn;
     private int turnedAway;
     private int untold;
@@ -90,9 +92,23 @@
         cloud = new CloudStandIn(simulation::now, simulation::after, types, this::up, this::gone);
         network.serve(STATE, "state", state);
         network.serve(CLOUD, "cloud", cloud);
+        for (String zone : ZONES) {
+            List.of("state", "cloud", "user").forEach(host -> network.join(host, "outside-" + zone));
+        }
+        nodes.forEach(node -> {
+            network.join(node, "controllers");
+            place(node, ZONES.get(nodes.indexOf(node) % ZONES.size()));
+        });
         nodes.forEach(this::begin);
     }
 
+    /** Cuts and heals may name hosts in a zone, and all that are not in it. */
+    private void place(String host, String zone) {
+        for (String other : ZONES) {
+            network.join(host, other.equals(zone) ? "zone-" + zone : "outside-" + other);
+        }
+    }
+
     public Simulation simulation() {
         return simulation;
     }
@@ -178,7 +194,7 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                List.of("east", "west"), teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, known.writesPerS(),
+                ZONES, teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, known.writesPerS(),
                 known.valueBytes(), known.txnOps(), 10, 3, 1000);
         // Clocks at the edges of their bounds.
         double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
@@ -218,6 +234,9 @@
 
     private void up(CloudStandIn.Rented rented) {
         zones.put(rented.name, rented.zone);
+        network.join(rented.name, "workers");
+        network.join(rented.name, "workers-" + rented.zone);
+        place(rented.name, rented.zone);
         workers.put(rented.name, new WorkerStandIn(simulation, network.from(rented.name, () -> true), rules, this,
                 rented.name, rented.type, rented.zone, rented.spot, addresses, (long) (REPORT_S * 1000),
                 (long) (LEASE_S * 1000), saved));
@@ -232,9 +251,10 @@
 
     // ---- users ---------------------------------------------------------------------------------
 
-    public void submit(ObjectNode body, double runS, boolean fails) throws InvalidMessage {
+    /** @param vary by what part of the run time single tasks run shorter or longer */
+    public void submit(ObjectNode body, double runS, double vary, boolean fails) throws InvalidMessage {
         JobSpec spec = UserWire.submission(body, 0);
-        truths.put(spec.id(), new Truth(spec, body, (long) (runS * 1000), fails));
+        truths.put(spec.id(), new Truth(spec, body, (long) (runS * 1000), vary, fails));
         rules.submitted(spec);
         submit(spec.id(), body, simulation.now() + 60_000);
     }
@@ -333,8 +353,11 @@
     }
 
     @Override
-    public long runMs(String job) {
-        return truths.get(job).runMs();
+    public long runMs(String task) {
+        Truth truth = truths.get(task.substring(0, task.indexOf('/')));
+        // By the task's name, so that it is the same wherever it runs.
+        double part = Math.floorMod(task.hashCode() * 31L, 1000) / 500.0 - 1;
+        return Math.round(truth.runMs() * (1 + truth.vary() * part));
     }
 
     @Override
@@ -351,6 +374,15 @@
         cloud.capacity(new Pool(type, zone, spot), most);
     }
 
+    /** Gives a controller a name by which the scenario can speak of it later. */
+    public void name(String name, String node) {
+        names.put(name, node);
+    }
+
+    public String named(String name) {
+        return names.getOrDefault(name, name);
+    }
+
     public String zone(String machine) {
         return zones.get(machine);
     }
--- a/src/test/java/notchpick/transport/SocketTest.java
+++ b/src/test/java/notchpick/transport/SocketTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -79,10 +80,11 @@
     }
 
     @Test
-    void noAnswerInTimeAndNoServerAreBothNone() throws Exception {
-        assertEquals(0, call("GET", "/never", null, 200).status());
+    void noAnswerInTimeIsToldFromNoServer() throws Exception {
+        assertEquals(Answer.NONE, call("GET", "/never", null, 200));
         address = "127.0.0.1:1";
-        assertEquals(0, call("GET", "/x", null, 2000).status());
+        assertEquals(Answer.UNSENT, call("GET", "/x", null, 2000));
+        assertTrue(Answer.NONE.isNone() && Answer.UNSENT.isNone());
     }
 
     @Test
