Routes: reports go in batches, a way counts only when answers come back by it

And a link over which requests come in but answers don't go out passed for a way. Change: batches with a window; a limit on users' and workers' connections; refused workers' connections end; rounds of granting take a tenth of the time at most, plans pass over full machines.

--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -30,11 +30,12 @@
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Outcome;
+import notchpick.protocol.peer.Outcomes;
 import notchpick.protocol.peer.Progress;
 import notchpick.protocol.peer.Pulse;
 import notchpick.protocol.peer.Relay;
 import notchpick.protocol.peer.Relayed;
-import notchpick.protocol.peer.ReportCall;
+import notchpick.protocol.peer.ReportBatch;
 import notchpick.protocol.peer.StateCall;
 import notchpick.scheduling.MachineType;
 import notchpick.transport.Actor;
@@ -42,6 +43,7 @@
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.Caller.Call;
 import notchpick.transport.EventLoop;
+import notchpick.transport.Gathered;
 
 /** Wires the actors of one controller together and passes requests on to them. */
 public final class Controller extends Actor<Controller.Message> implements Elector.Listener {
@@ -147,32 +149,41 @@
         return frontDoor.ready() && !elector.isForeign() && (state.reachable() || peers.withState() == null);
     }
 
-    private void report(Call call, Consumer<Answer> reply, long at) {
+    private void report(Call call, Consumer<Answer> toWorker, long at) {
+        // Whoever is told to try another controller would leave its connection behind, and there are thousands.
+        Consumer<Answer> reply = answer -> toWorker.accept(answer.status() == 200 ? answer : answer.last());
         if (leader == null) {
             reportRoutes.tell(new ReportRoutes.Came(call, reply, at));
             return;
         }
         try {
-            Report report = WorkerWire.report(Json.object(call.body()));
-            links.workerHeard(report.zone());
-            leader.tell(new Leader.Reported(report, reply, false));
+            leader.tell(new Leader.Reported(WorkerWire.report(Json.object(call.body())), reply, false));
         } catch (InvalidMessage e) {
             reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
         }
     }
 
-    /** A report that another controller passes on. It goes no further from here. */
-    private void passedReport(ReportCall passed, Consumer<Answer> reply, long at) {
-        if (loop.now() - at > passed.getPatienceMs()) {
-            reply.accept(new Answer(503, new byte[0]));
-        } else if (leader == null) {
-            String known = deployment.node().equals(elector.leader()) ? null : elector.leader();
-            reply.accept(new Answer(421, Json.bytes(WorkerWire.redirect(known))));
-        } else {
+    /** Reports that another controller passes on. They go no further from here. */
+    private void passedReports(ReportBatch batch, Consumer<Answer> reply, long at) {
+        long restMs = batch.getPatienceMs() - (loop.now() - at);
+        Gathered<Outcome> outcomes = new Gathered<>(batch.getReports().size(),
+                outcome(new Answer(503, new byte[0])),
+                all -> reply.accept(new Answer(200, PeerWire.bytes(new Outcomes(all)))));
+        // What is not answered in time is of no use to its worker, and must not keep the others.
+        after(Math.max(0, restMs), outcomes::close);
+        for (int i = 0; i < batch.getReports().size() && restMs > 0; i++) {
+            int index = i;
+            Consumer<Answer> one = answer -> outcomes.put(index, outcome(answer));
             try {
-                leader.tell(new Leader.Reported(WorkerWire.report(Json.object(bytes(passed.getContent()))), reply, true));
+                Report report = WorkerWire.report(Json.object(bytes(batch.getReports().get(i))));
+                if (leader != null) {
+                    leader.tell(new Leader.Reported(report, one, true));
+                } else {
+                    one.accept(new Answer(421, Json.bytes(WorkerWire.redirect(
+                            deployment.node().equals(elector.leader()) ? null : elector.leader()))));
+                }
             } catch (InvalidMessage e) {
-                reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
+                one.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
             }
         }
     }
@@ -188,8 +199,11 @@
 
     /** Tells a controller what came of a call that it had this one make. */
     private static Consumer<Answer> outcome(Consumer<Answer> reply) {
-        return answer -> reply.accept(new Answer(200,
-                PeerWire.bytes(new Outcome(answer.status(), ByteBuffer.wrap(answer.body())))));
+        return answer -> reply.accept(new Answer(200, PeerWire.bytes(outcome(answer))));
+    }
+
+    private static Outcome outcome(Answer answer) {
+        return new Outcome(answer.status(), ByteBuffer.wrap(answer.body()));
     }
 
     private void peer(Call call, Consumer<Answer> reply, long at) {
@@ -199,8 +213,8 @@
             reply.accept(new Answer(200, PeerWire.bytes(pulse(List.of()))));
         } else if (body instanceof Grant grant) {
             reply.accept(new Answer(200, PeerWire.bytes(Placer.place(grant, deployment.node()))));
-        } else if (body instanceof ReportCall passed) {
-            passedReport(passed, outcome(reply), at);
+        } else if (body instanceof ReportBatch batch) {
+            passedReports(batch, reply, at);
         } else if (body instanceof StateCall passed) {
             state.pass(passed.getMethod(), passed.getPath(), bytes(passed.getContent()),
                     passed.getTimeoutMs() - (loop.now() - at), outcome(reply));
@@ -290,7 +304,7 @@
 
     @Override
     public void elected(long term, long version, long claimUntil) {
-        leader = new Leader(loop, deployment, tuning, state, cloud, peers, routes::detourMs, leaderLeaseMs, term, version, claimUntil,
+        leader = new Leader(loop, deployment, tuning, state, cloud, peers, links, routes::detourMs, leaderLeaseMs, term, version, claimUntil,
                 why -> elector.tell(new Elector.GiveWay(why)));
         if (types != null) {
             leader.tell(new Leader.TypesKnown(types));
--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -99,7 +99,8 @@
         Handler peers = controller::servePeer;
         JettyServer server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(),
                 Map.of(deployment.serveOn(), outside, deployment.peerBind(), peers), deployment.peerBind(),
-                (long) (deployment.workerLeaseS() * 4000));
+                (long) (deployment.workerLeaseS() * 4000), deployment.connectionsTaken(),
+                (long) (deployment.reportS() * 2000));
         controller.tell(new Controller.Begin());
         server.start();
     }
--- a/src/main/java/notchpick/bookkeeping/Machine.java
+++ b/src/main/java/notchpick/bookkeeping/Machine.java
@@ -34,6 +34,8 @@
     /** When the newest report came; since that moment its lease runs. */
     public long reportedAt;
     public boolean everReported;
+    /** Its last report came from it directly, not by another controller. */
+    public boolean reportsHere;
     /** Its report has not been answered yet: orders can go out at once. */
     public boolean awaitsAnswer;
     /** No former leader's order can reach it any more, and all that is on it has been reported. */
--- a/src/main/java/notchpick/bookkeeping/Roster.java
+++ b/src/main/java/notchpick/bookkeeping/Roster.java
@@ -88,13 +88,17 @@
 
     /** What is ready to be shared. */
     public Amounts total() {
-        Amounts total = Amounts.NONE;
+        double cores = 0;
+        double gpus = 0;
+        double ram = 0;
         for (Machine machine : machines.values()) {
             if (machine.life == Machine.Life.UP) {
-                total = total.plus(machine.size);
+                cores += machine.size.cores();
+                gpus += machine.size.gpus();
+                ram += machine.size.ram();
             }
         }
-        return total;
+        return new Amounts(cores, gpus, ram);
     }
 
     /** How many of a job's tasks are, or may be, in each zone. */
--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -57,6 +57,11 @@
         return Math.min(txnOps, Math.max(END_WRITES, (int) (stateWriteRps / 5)));
     }
 
+    /** Connections that others may hold here: without some of its own a controller could reach nobody. */
+    public int connectionsTaken() {
+        return socketLimit - socketLimit / 8;
+    }
+
     public int controllers() {
         return peers.size() + 1;
     }
--- a/src/main/java/notchpick/coordination/leading/Fleet.java
+++ b/src/main/java/notchpick/coordination/leading/Fleet.java
@@ -147,7 +147,10 @@
         List<Need> needs = demand.needs();
         List<Owned> owned = new ArrayList<>();
         for (Machine machine : roster.machines.values()) {
-            if (machine.life == Life.BOOTING || machine.life == Life.UP && machine.noticeS == null) {
+            boolean isHere = machine.life == Life.UP && machine.noticeS == null
+                    // What is silent takes nothing new; what runs there is not rented for twice.
+                    && (!machine.isIdle() || silentMs(machine, awakeSince, now) <= silentForLongMs());
+            if (machine.life == Life.BOOTING || isHere) {
                 owned.add(new Owned(machine.name, machine.pool, machine.size, machine.isIdle()));
             }
         }
@@ -159,11 +162,11 @@
                 rent(pool, count);
             }
         });
-        boolean mostAreSilent = mostAreSilent(now, awakeSince);
+        Silence silence = new Silence(roster.machines.values(), now, awakeSince, silentForLongMs());
         boolean leaving = false;
         for (Machine machine : roster.machines.values()) {
-            long silentMs = now - Math.max(machine.reportedAt, awakeSince);
-            retire(machine, plan.unneeded().contains(machine.name), silentMs, mostAreSilent, now);
+            retire(machine, plan.unneeded().contains(machine.name), silentMs(machine, awakeSince, now),
+                    silence.covers(machine.zone()), now);
             leaving |= machine.life == Life.RELEASED && !machine.releaseDurable;
         }
         if (leaving) {
@@ -172,6 +175,14 @@
         release();
     }
 
+    private static long silentMs(Machine machine, long awakeSince, long now) {
+        return now - Math.max(machine.reportedAt, awakeSince);
+    }
+
+    private double silentForLongMs() {
+        return deployment.workerLeaseS() * 400;
+    }
+
     /** Rents as many, one request after the other, each of as many as the cloud gives at once. */
     private void rent(Pool pool, int count) {
         rent(requestPrefix + ++lastRequest, pool, count, TRIES);
@@ -210,13 +221,13 @@
     }
 
     /** Moves a machine on towards its release where there is a reason to. */
-    private void retire(Machine machine, boolean unneeded, long silentMs, boolean mostAreSilent, long now) {
+    private void retire(Machine machine, boolean unneeded, long silentMs, boolean zoneIsSilent, long now) {
         switch (machine.life) {
             case BOOTING -> { }
             case UP -> {
                 if (machine.isIdle() && unneeded && now - machine.idleSince > keepIdleMs(machine)) {
                     machine.life = Life.RELEASED;
-                } else if (silentMs > deployment.workerLeaseS() * 500 && !mostAreSilent) {
+                } else if (silentMs > (zoneIsSilent ? keepSilentMs(machine) : deployment.workerLeaseS() * 500)) {
                     LOG.info("machine {} is silent", machine.name);
                     machine.life = Life.RELEASED;
                 }
@@ -230,24 +241,19 @@
         }
     }
 
+    /**
+     * Machines that fell silent with their zone are kept until keeping them has cost as much as others in their place
+     * would: what runs on them may go on for their lease, and others would first have to boot.
+     */
+    private double keepSilentMs(Machine machine) {
+        return deployment.workerLeaseS() * 1000 + boots.expectedMs(machine.type());
+    }
+
     /** A cheap machine is kept for as long as another would now take to boot; an ordinary one hardly at all. */
     private double keepIdleMs(Machine machine) {
         return machine.spot() || boots.isLate(machine.pool) ? boots.expectedMs(machine.type()) : 2000 * deployment.reportS();
     }
 
-    /** If so, it is this controller that is out of reach rather than they. */
-    private boolean mostAreSilent(long now, long awakeSince) {
-        int up = 0;
-        int silent = 0;
-        for (Machine machine : roster.machines.values()) {
-            if (machine.life == Life.UP) {
-                up++;
-                silent += now - Math.max(machine.reportedAt, awakeSince) > deployment.workerLeaseS() * 400 ? 1 : 0;
-            }
-        }
-        return silent > 3 && silent * 2 > up;
-    }
-
     /**
      * Names all whose release may have been asked, and of the others that shall go as many as one value takes. A
      * list that is too long already, by another version's limit, stays until enough are confirmed.
--- a/src/main/java/notchpick/coordination/leading/Granting.java
+++ b/src/main/java/notchpick/coordination/leading/Granting.java
@@ -173,6 +173,10 @@
                 usable.add(machine);
             }
         }
+        boolean looksForRoom = now - roomMadeAt >= reportMs() * MAKE_ROOM_RATIO;
+        if (usable.isEmpty() && !looksForRoom) {
+            return;
+        }
         SiteIndex<Machine> open = new SiteIndex<>(usable);
         List<Turn> active = new ArrayList<>();
         waiting.forEach((team, jobs) -> {
@@ -199,7 +203,7 @@
         }
         turns.forEach(turn -> leases.lease(turn.leased));
         // It looks at every task that runs, and who waits has waited for a report period anyway.
-        if (now - roomMadeAt >= reportMs() * MAKE_ROOM_RATIO) {
+        if (looksForRoom) {
             roomMadeAt = now;
             makeRoom(turns, now);
         }
--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -16,6 +16,7 @@
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Tuning;
 import notchpick.coordination.membership.Candidacy;
+import notchpick.coordination.membership.Links;
 import notchpick.coordination.membership.Peers;
 import notchpick.protocol.CloudApi;
 import notchpick.protocol.StateApi;
@@ -46,6 +47,8 @@
 
     /** What arrives within this part of a report period is granted in one round. */
     private static final double ROUND_RATIO = 0.01;
+    /** Rounds take no more than one part in so many of the time, however long one takes. */
+    private static final int ROUND_SHARE = 10;
     /** A tick that comes later than so many of its periods shows that the process stood still. */
     private static final int LATE_TICKS = 2;
 
@@ -54,6 +57,7 @@
     private final StateApi state;
     private final CloudApi cloud;
     private final Peers peers;
+    private final Links links;
     private final LongSupplier detourMs;
     private final Consumer<String> giveWay;
     private final long term;
@@ -77,15 +81,16 @@
     private boolean begun;
     private boolean loaded;
     private long lastReportAt;
-    /** When a worker last reported here by itself. */
+    /** When it was last seen that a worker got an answer from here by itself. */
     private long lastDirectAt;
     private long bypassedSince;
     private boolean roundDue;
     private long rounds;
+    private long roundTookMs;
 
     /** @param detourMs how long the state service has been reached through another controller */
     public Leader(EventLoop loop, Deployment deployment, Tuning tuning, StateApi state, CloudApi cloud, Peers peers,
-            LongSupplier detourMs, long leaderLeaseMs, long term, long version, long claimUntil,
+            Links links, LongSupplier detourMs, long leaderLeaseMs, long term, long version, long claimUntil,
             Consumer<String> giveWay) {
         super(loop);
         this.deployment = deployment;
@@ -93,6 +98,7 @@
         this.state = state;
         this.cloud = cloud;
         this.peers = peers;
+        this.links = links;
         this.detourMs = detourMs;
         this.giveWay = giveWay;
         this.term = term;
@@ -148,7 +154,7 @@
                 takeOver.begin();
             }
         } else if (message instanceof Reported reported) {
-            lastDirectAt = reported.passed() ? lastDirectAt : loop.now();
+            noteWay(reported.report(), reported.passed());
             report(reported.report(), reported.reply());
         } else if (message instanceof Depose) {
             reports.refuseAll();
@@ -193,6 +199,18 @@
         }
     }
 
+    /** Who reports here twice running got the first answer; others may report here in vain. */
+    private void noteWay(Report report, boolean passed) {
+        Machine machine = roster.machines.get(report.machine());
+        if (machine != null) {
+            if (!passed && machine.reportsHere && report.sequence() == machine.sequence + 1) {
+                lastDirectAt = loop.now();
+                links.workerHeard(report.zone());
+            }
+            machine.reportsHere = !passed;
+        }
+    }
+
     private void placed(Binding binding) {
         starts.save(binding);
     }
@@ -209,17 +227,24 @@
     private void roundSoon() {
         if (!roundDue && loaded) {
             roundDue = true;
-            after((long) (deployment.reportS() * 1000 * ROUND_RATIO), () -> {
+            after(Math.max((long) (deployment.reportS() * 1000 * ROUND_RATIO), ROUND_SHARE * roundTookMs), () -> {
                 roundDue = false;
                 rounds++;
                 if (holdsClaim()) {
+                    long begunAt = loop.now();
                     granting.round();
+                    roundTookMs = Math.min(loop.now() - begunAt, longestRoundMs());
                 }
                 reports.answerHeld();
             });
         }
     }
 
+    /** A round in the middle of which this process stood still tells nothing. */
+    private long longestRoundMs() {
+        return (long) (deployment.reportS() * 1000 * ROUND_RATIO);
+    }
+
     /** After this process stood still, what others sent meanwhile is yet to be read: their silence says nothing. */
     private void noteStandstill(long now) {
         if (now - tickedAt > tickMs() * LATE_TICKS) {
--- a/src/main/java/notchpick/coordination/leading/Reports.java
+++ b/src/main/java/notchpick/coordination/leading/Reports.java
@@ -56,6 +56,7 @@
     private final Runnable news;
     private final BiConsumer<Long, Runnable> timer;
     private final Map<Machine, Held> held = new LinkedHashMap<>();
+    private Answer nothing;
 
     /** A report whose answer is still to be given, and how many rounds had begun when it came. */
     private record Held(Consumer<Answer> reply, List<TaskReport> tasks, long rounds) {}
@@ -90,6 +91,14 @@
         return new Answer(200, Json.bytes(WorkerWire.orders(term, orders)));
     }
 
+    /** Most reports say nothing new: their answer is made once. */
+    private Answer nothing() {
+        if (nothing == null) {
+            nothing = orders(term, List.of());
+        }
+        return nothing;
+    }
+
     void receive(Report report, Consumer<Answer> reply) {
         long now = loop.now();
         if (fleet.wasReleased(report.machine())) {
@@ -383,6 +392,6 @@
                 }
             }
         }
-        open.reply().accept(orders(term, orders));
+        open.reply().accept(orders.isEmpty() ? nothing() : orders(term, orders));
     }
 }
--- a/src/main/java/notchpick/coordination/leading/RoomLeases.java
+++ b/src/main/java/notchpick/coordination/leading/RoomLeases.java
@@ -68,6 +68,10 @@
             tasks.computeIfAbsent(job, j -> new BitSet()).set(task);
         }
 
+        private int size() {
+            return tasks.values().stream().mapToInt(BitSet::cardinality).sum();
+        }
+
         boolean holds(Job job) {
             return tasks.containsKey(job);
         }
@@ -208,7 +212,10 @@
             LOG.info("{} of {} placements refused", placements.getPlaced().size() - accepted,
                     placements.getPlaced().size());
         }
-        changed.run();
+        // A team whose room is leased elsewhere takes no part in rounds; and what was not placed is free again.
+        if (!leased.holder.equals(deployment.node()) || accepted < leased.size()) {
+            changed.run();
+        }
     }
 
     /** All that the rules ask of a start, at the moment of the decision. */
--- a/src/main/java/notchpick/coordination/membership/Candidacy.java
+++ b/src/main/java/notchpick/coordination/membership/Candidacy.java
@@ -2,8 +2,6 @@
 
 import java.util.function.LongSupplier;
 import notchpick.protocol.peer.LinkKind;
-import notchpick.protocol.peer.LinkRow;
-import notchpick.protocol.peer.LinkTable;
 
 /** How well this controller is connected to lead, compared with the others. Who is worse off lets others go first. */
 public final class Candidacy implements LongSupplier {
@@ -39,14 +37,6 @@
     }
 
     private boolean hearsWorkers(String peer) {
-        LinkTable table = peers.linksOf(peer);
-        if (table != null) {
-            for (LinkRow row : table.getLinks()) {
-                if (row.getKind() == LinkKind.WORKERS && hearsWorkers(row.getAgeMs())) {
-                    return true;
-                }
-            }
-        }
-        return false;
+        return hearsWorkers(peers.linkAgeMs(peer, LinkKind.WORKERS, null));
     }
 }
--- a/src/main/java/notchpick/coordination/membership/Links.java
+++ b/src/main/java/notchpick/coordination/membership/Links.java
@@ -22,7 +22,7 @@
     private final Link state;
     private final Link users;
     private final Map<String, Link> peers = new HashMap<>();
-    /** Of workers that report here themselves, by their zone. */
+    /** Of workers that report here themselves and get the answers, by their zone. */
     private final Map<String, Link> workers = new TreeMap<>();
 
     public Links(EventLoop loop, Deployment deployment) {
@@ -46,7 +46,10 @@
         users.heard(loop.now());
     }
 
-    /** A worker has reported here by itself. */
+    /**
+     * A worker of this zone has got an answer from here: it came by itself with the report that follows the one
+     * answered. That a report comes in says nothing of the way back.
+     */
     public void workerHeard(String zone) {
         workers.computeIfAbsent(zone, z -> new Link(periodMs)).heard(loop.now());
     }
@@ -57,7 +60,7 @@
         return link != null && link.condition() == LinkCondition.UP && link.isFresh(loop.now(), withinMs);
     }
 
-    /** Since any worker has last reported here by itself; -1: none ever. */
+    /** Since any worker last got an answer from here; -1: none ever. */
     public long workersAgeMs() {
         long now = loop.now();
         return workers.values().stream().mapToLong(link -> link.ageMs(now)).min().orElse(-1);
--- a/src/main/java/notchpick/coordination/membership/Peers.java
+++ b/src/main/java/notchpick/coordination/membership/Peers.java
@@ -8,6 +8,9 @@
 import java.util.function.Supplier;
 import notchpick.coordination.Deployment;
 import notchpick.protocol.PeerWire;
+import notchpick.protocol.peer.LinkCondition;
+import notchpick.protocol.peer.LinkKind;
+import notchpick.protocol.peer.LinkRow;
 import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Progress;
 import notchpick.protocol.peer.Pulse;
@@ -114,6 +117,20 @@
         return entry == null || loop.now() - entry.at() > 2 * PULSES_FOR_LINKS * periodMs ? null : entry.table();
     }
 
+    /** How long ago a peer's link last gave a sign, by what it has lately told; -1: it is down, or not known here. */
+    public long linkAgeMs(String node, LinkKind kind, String name) {
+        LinkTable table = linksOf(node);
+        if (table != null) {
+            for (LinkRow row : table.getLinks()) {
+                if (row.getKind() == kind && (name == null || row.getName().equals(name))
+                        && row.getCondition() == LinkCondition.UP) {
+                    return row.getAgeMs() + loop.now() - told.get(node).at();
+                }
+            }
+        }
+        return -1;
+    }
+
     /** Whether calls to a peer are answered, and it can pass calls on. */
     public boolean canPass(String node) {
         return links.answers(node, FRESH_PULSES * periodMs) && linksOf(node) != null;
--- a/src/main/java/notchpick/coordination/membership/ReportRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/ReportRoutes.java
@@ -1,14 +1,14 @@
 package notchpick.coordination.membership;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Queue;
 import java.util.function.Consumer;
 import notchpick.coordination.Deployment;
 import notchpick.protocol.InvalidMessage;
@@ -16,12 +16,10 @@
 import notchpick.protocol.UserWire;
 import notchpick.protocol.WorkerWire;
 import notchpick.protocol.WorkerWire.Report;
-import notchpick.protocol.peer.LinkCondition;
 import notchpick.protocol.peer.LinkKind;
-import notchpick.protocol.peer.LinkRow;
-import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Outcome;
-import notchpick.protocol.peer.ReportCall;
+import notchpick.protocol.peer.Outcomes;
+import notchpick.protocol.peer.ReportBatch;
 import notchpick.transport.Actor;
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.Caller.Call;
@@ -43,8 +41,14 @@
     public record Came(Call call, Consumer<Answer> reply, long at) implements Message {}
 
     private static final int TURNED_AWAY = 503;
-    /** So many reports are on their way to the leader at a time; one more takes the place of the oldest. */
-    private static final int MOST_ON_THE_WAY = 48;
+    private static final Answer TRY_ANOTHER = new Answer(TURNED_AWAY, new byte[0]);
+    /** So many reports wait to be passed on; one more takes the place of the oldest. */
+    private static final int MOST_WAITING = 1000;
+    private static final int BATCH = 64;
+    private static final int BATCH_BYTES = 256 << 10;
+    private static final int MOST_BATCHES = 4;
+    /** Reports are gathered for this part of their period. */
+    private static final double BATCH_RATIO = 0.02;
     /** This part of a worker's patience is left for the answer's way back. */
     private static final double REPLY_RATIO = 0.125;
     /** A worker that did not get through is tried again after so many leases at the most. */
@@ -54,6 +58,7 @@
     private static final class Visit {
         private final long term;
         private long at;
+        private long sequence;
         /** When it was last told to report to the leader; 0: not since it got through by this controller. */
         private long sentHomeAt;
         /** When its report was last passed on and answered; 0: never. */
@@ -67,7 +72,7 @@
         }
     }
 
-    private record OnTheWay(Consumer<Answer> reply) {}
+    private record Waiting(Came came, Visit visit) {}
 
     private final Deployment deployment;
     private final Elector elector;
@@ -75,11 +80,14 @@
     private final Links links;
     private final long reportMs;
     private final long leaseMs;
+    private final long batchMs;
     private final Map<String, Visit> visits = new HashMap<>();
-    private final Set<OnTheWay> onTheWay = new LinkedHashSet<>();
+    private final Queue<Waiting> waiting = new ArrayDeque<>();
     /** By zone, when a worker was last sent to the leader only to see whether it gets through. */
     private final Map<String, Long> triedAt = new HashMap<>();
     private int redirects;
+    private boolean flushing;
+    private int batchesOut;
     private long passed;
 
     public ReportRoutes(EventLoop loop, Deployment deployment, Elector elector, Peers peers, Links links) {
@@ -90,6 +98,7 @@
         this.links = links;
         this.reportMs = (long) (deployment.reportS() * 1000);
         this.leaseMs = (long) (deployment.workerLeaseS() * 1000);
+        this.batchMs = (long) (reportMs * BATCH_RATIO);
     }
 
     /** How many workers have lately been sent on to the leader. */
@@ -128,7 +137,6 @@
     }
 
     private void route(Came came, Report report) {
-        links.workerHeard(report.zone());
         String leader = elector.leader();
         long term = elector.term();
         if (leader == null || leader.equals(deployment.node())) {
@@ -142,6 +150,10 @@
             visits.put(report.machine(), visit);
         }
         visit.at = now;
+        if (isGuest(visit) && report.sequence() == visit.sequence + 1) {
+            links.workerHeard(report.zone());
+        }
+        visit.sequence = report.sequence();
         boolean cameBack = isRecent(visit.sentHomeAt, leaseMs);
         // Who knows this term's token was answered by its leader, and leaves it only when that fails.
         if (report.token() < term && !cameBack && !isGuest(visit)) {
@@ -149,7 +161,7 @@
             return;
         }
         if (isGuest(visit)) {
-            if (now >= visit.notHomeBefore && (leaderHears(leader, report.zone()) || isTrial(report.zone()))) {
+            if (now >= visit.notHomeBefore && (serves(leader, report.zone(), 2 * reportMs) || isTrial(report.zone()))) {
                 sendHome(came, visit, leader);
                 return;
             }
@@ -185,24 +197,10 @@
         came.reply().accept(new Answer(421, Json.bytes(WorkerWire.redirect(to))));
     }
 
-    /** Whether the leader says that workers of this zone report to it by themselves. */
-    private boolean leaderHears(String leader, String zone) {
-        return hears(peers.linksOf(leader), zone, reportMs);
-    }
-
-    private static boolean hears(LinkTable table, String zone, long withinMs) {
-        return row(table, LinkKind.WORKERS, zone, withinMs);
-    }
-
-    private static boolean row(LinkTable table, LinkKind kind, String name, long withinMs) {
-        if (table != null) {
-            for (LinkRow row : table.getLinks()) {
-                if (row.getKind() == kind && row.getName().equals(name)) {
-                    return row.getCondition() == LinkCondition.UP && row.getAgeMs() <= withinMs;
-                }
-            }
-        }
-        return false;
+    /** Whether a peer says that workers of this zone have lately got answers from it. */
+    private boolean serves(String peer, String zone, long withinMs) {
+        long age = peers.linkAgeMs(peer, LinkKind.WORKERS, zone);
+        return age >= 0 && age <= withinMs;
     }
 
     /** One worker of a zone at a time goes and sees; it loses a report's time if it does not get through. */
@@ -225,9 +223,8 @@
             able.add(deployment.node());
         }
         for (String peer : peers.live()) {
-            LinkTable table = peers.linksOf(peer);
-            if (!peer.equals(leader) && row(table, LinkKind.PEER, leader, reportMs)
-                    && hears(table, report.zone(), 2 * reportMs)) {
+            if (!peer.equals(leader) && peers.linkAgeMs(peer, LinkKind.PEER, leader) >= 0
+                    && serves(peer, report.zone(), 2 * reportMs)) {
                 able.add(peer);
             }
         }
@@ -236,35 +233,76 @@
     }
 
     private void pass(Came came, Visit visit, String leader) {
-        long now = loop.now();
-        long restMs = (long) (came.at() + WorkerWire.PATIENCE_MS * (1 - REPLY_RATIO) - now);
-        if (restMs < WorkerWire.PATIENCE_MS / 2 || !peers.canPass(leader)) {
-            // It could not be answered in time; the next controller may do better.
-            came.reply().accept(new Answer(TURNED_AWAY, new byte[0]));
+        if (!peers.canPass(leader)) {
+            came.reply().accept(TRY_ANOTHER);
             return;
         }
-        if (onTheWay.size() >= MOST_ON_THE_WAY) {
-            OnTheWay oldest = onTheWay.iterator().next();
-            onTheWay.remove(oldest);
-            oldest.reply().accept(new Answer(TURNED_AWAY, new byte[0]));
+        if (waiting.size() >= MOST_WAITING) {
+            waiting.poll().came().reply().accept(TRY_ANOTHER);
         }
-        OnTheWay one = new OnTheWay(came.reply());
-        onTheWay.add(one);
-        passed++;
-        peers.ask(leader, new ReportCall(restMs, ByteBuffer.wrap(came.call().body())), restMs, here(reply -> {
-            if (!onTheWay.remove(one)) {
-                return;
-            }
-            if (reply instanceof Outcome outcome && outcome.getStatus() > 0) {
-                if (outcome.getStatus() == 200) {
-                    visit.passedAt = loop.now();
+        waiting.add(new Waiting(came, visit));
+        if (!flushing) {
+            flushing = true;
+            after(batchMs, this::flush);
+        }
+    }
+
+    /**
+     * What has come lately goes to the leader in one message, which costs it less than the same reports one by one;
+     * only so many messages are on their way, so that a slow leader is not given more than it can answer.
+     */
+    private void flush() {
+        flushing = false;
+        String leader = elector.leader();
+        while (!waiting.isEmpty() && batchesOut < MOST_BATCHES) {
+            List<Waiting> batch = new ArrayList<>();
+            int bytes = 0;
+            long restMs = WorkerWire.PATIENCE_MS;
+            while (!waiting.isEmpty() && batch.size() < BATCH && bytes < BATCH_BYTES) {
+                Waiting next = waiting.poll();
+                long left = (long) (next.came().at() + WorkerWire.PATIENCE_MS * (1 - REPLY_RATIO) - loop.now());
+                if (left < WorkerWire.PATIENCE_MS / 4 || leader == null || !peers.canPass(leader)) {
+                    // It could not be answered in time; the next controller may do better.
+                    next.came().reply().accept(TRY_ANOTHER);
+                } else {
+                    batch.add(next);
+                    bytes += next.came().call().body().length;
+                    restMs = Math.min(restMs, left);
                 }
-                byte[] content = new byte[outcome.getContent().remaining()];
-                outcome.getContent().get(content);
-                one.reply().accept(new Answer(outcome.getStatus(), content));
-            } else {
-                one.reply().accept(new Answer(TURNED_AWAY, new byte[0]));
             }
+            if (!batch.isEmpty()) {
+                send(leader, batch, restMs);
+            }
+        }
+    }
+
+    private void send(String leader, List<Waiting> batch, long restMs) {
+        batchesOut++;
+        passed += batch.size();
+        List<ByteBuffer> reports = batch.stream().map(one -> ByteBuffer.wrap(one.came().call().body())).toList();
+        // The leader has a little less time than its answer is waited for.
+        long patienceMs = (long) (restMs * (1 - REPLY_RATIO));
+        peers.ask(leader, new ReportBatch(patienceMs, reports), restMs, here(reply -> {
+            batchesOut--;
+            List<Outcome> outcomes = reply instanceof Outcomes all && all.getEach().size() == batch.size()
+                    ? all.getEach() : null;
+            for (int i = 0; i < batch.size(); i++) {
+                answered(batch.get(i), outcomes == null ? null : outcomes.get(i));
+            }
+            flush();
         }));
     }
+
+    private void answered(Waiting one, Outcome outcome) {
+        if (outcome == null || outcome.getStatus() <= 0) {
+            one.came().reply().accept(TRY_ANOTHER);
+            return;
+        }
+        if (outcome.getStatus() == 200) {
+            one.visit().passedAt = loop.now();
+        }
+        byte[] content = new byte[outcome.getContent().remaining()];
+        outcome.getContent().get(content);
+        one.came().reply().accept(new Answer(outcome.getStatus(), content));
+    }
 }
--- a/src/main/java/notchpick/scheduling/FleetPlan.java
+++ b/src/main/java/notchpick/scheduling/FleetPlan.java
@@ -69,9 +69,12 @@
         Map<Pool, Integer> rent = new LinkedHashMap<>();
         Map<Pool, Integer> held = new HashMap<>();
         owned.forEach(machine -> held.merge(machine.pool(), 1, Integer::sum));
+        double least = needs.stream().mapToDouble(need -> need.spec().demand().cores()).min().orElse(0);
+        // Those that are full for every job are not looked at again, job after job.
+        List<Slot> open = new ArrayList<>(slots);
         for (Need need : needs) {
             int wanted = wanted(need, horizonS);
-            for (Slot slot : slots) {
+            for (Slot slot : open) {
                 if (wanted == 0) {
                     break;
                 }
@@ -89,10 +92,11 @@
                     break;
                 }
                 wanted -= packed;
-                slots.add(slot);
+                open.add(slot);
                 rent.merge(pool, 1, Integer::sum);
                 held.merge(pool, 1, Integer::sum);
             }
+            open.removeIf(slot -> slot.room.cores() + Amounts.SLACK < least);
         }
         Set<String> unneeded = new HashSet<>();
         for (Slot slot : slots) {
--- a/src/main/java/notchpick/transport/Caller.java
+++ b/src/main/java/notchpick/transport/Caller.java
@@ -13,15 +13,28 @@
     /** A request; target is {@code address:port}, path includes the query. */
     record Call(String target, String method, String path, byte[] body) {}
 
-    /** A response; a status of 0 or less stands for none. */
-    record Answer(int status, byte[] body, int retryAfterS) {
-        public static final Answer NONE = new Answer(0, new byte[0], 0);
-        public static final Answer UNSENT = new Answer(-1, new byte[0], 0);
+    /**
+     * A response; a status of 0 or less stands for none.
+     *
+     * @param isLast whether the server ends the connection with it
+     */
+    record Answer(int status, byte[] body, int retryAfterS, boolean isLast) {
+        public static final Answer NONE = new Answer(0, new byte[0]);
+        public static final Answer UNSENT = new Answer(-1, new byte[0]);
 
         public Answer(int status, byte[] body) {
             this(status, body, 0);
         }
 
+        public Answer(int status, byte[] body, int retryAfterS) {
+            this(status, body, retryAfterS, false);
+        }
+
+        /** The same to somebody who will go elsewhere: the connection ends with it. */
+        public Answer last() {
+            return new Answer(status, body, retryAfterS, true);
+        }
+
         /** Whether there was no answer of any kind. */
         public boolean isNone() {
             return status <= 0;
--- a/src/main/java/notchpick/transport/JettyServer.java
+++ b/src/main/java/notchpick/transport/JettyServer.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
@@ -24,9 +25,15 @@
 
     private final Server server;
 
-    /** Serves each {@code address:port} with its handler. */
+    /**
+     * Serves each {@code address:port} with its handler.
+     *
+     * @param connections so many are taken in at the most from others than peers; when there are, those that lie
+     *     idle end sooner
+     * @param crowdedIdleMs how soon
+     */
     public JettyServer(ThreadPool threads, Scheduler scheduler, ByteBufferPool buffers, Map<String, Handler> served,
-            String peerAddress, long idleTimeoutMs) {
+            String peerAddress, long idleTimeoutMs, int connections, long crowdedIdleMs) {
         server = new Server(threads, scheduler, buffers);
         HttpConfiguration config = new HttpConfiguration();
         config.setSendServerVersion(false);
@@ -43,6 +50,12 @@
             connector.setPort(Integer.parseInt(address.substring(colon + 1)));
             connector.setIdleTimeout(idleTimeoutMs);
             connector.setAcceptQueueSize(256);
+            if (!address.equals(peerAddress)) {
+                // Users and workers must not keep the other controllers out, nor this one's own calls in.
+                ConnectionLimit limit = new ConnectionLimit(connections, connector);
+                limit.setIdleTimeout(crowdedIdleMs);
+                connector.addBean(limit);
+            }
             server.addConnector(connector);
         }
         server.setHandler(new org.eclipse.jetty.server.Handler.Abstract.NonBlocking() {
@@ -91,6 +104,9 @@
         if (answer.retryAfterS() > 0) {
             response.getHeaders().put(HttpHeader.RETRY_AFTER, answer.retryAfterS());
         }
+        if (answer.isLast()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(HttpHeader.CONTENT_LENGTH, answer.body().length);
         response.write(true, ByteBuffer.wrap(answer.body()), callback);
--- /dev/null
+++ b/src/test/java/notchpick/LinkWalkTest.java
@@ -0,0 +1,131 @@
+package notchpick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import notchpick.coordination.Deployment.Limit;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.MachineType;
+import notchpick.standin.Network.Cut;
+import notchpick.standin.World;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Seeded random walks over failures of links, checked against the rules. A seed that fails repeats. */
+class LinkWalkTest {
+    private static final int CONTROLLERS = 5;
+    /** All its links are left alone where a path must be left. */
+    private static final String WHOLE = "node-4";
+    /** Workers try one controller after another, five seconds each: no more than three may be out of their reach. */
+    private static final String HEARD = "node-2";
+    private static final List<String> JOBS = List.of("run-000001", "run-000002", "run-000003");
+
+    static IntStream seeds() {
+        return IntStream.rangeClosed(1, 150);
+    }
+
+    private static World world() throws Exception {
+        World world = new World(CONTROLLERS, List.of(new Limit("a", Amounts.NONE, new Amounts(70, 0, 0))),
+                List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 5, List.of("east", "west"))),
+                400, 100, null, false);
+        world.capacity("m8", "east", true, 5);
+        world.capacity("m8", "west", true, 5);
+        world.simulation().runUntil(3000);
+        double[] runS = {6, 11, 17};
+        for (int i = 0; i < JOBS.size(); i++) {
+            world.submit(ScenarioTest.submission(JOBS.get(i), Map.of("tasks", "90")), runS[i], 0.9, false);
+        }
+        world.simulation().runUntil(25_000);
+        return world;
+    }
+
+    private static String any(Random random, List<String> names) {
+        return names.get(random.nextInt(names.size()));
+    }
+
+    /** Cuts one link in one of the ways there are, or heals one; the spared controller's workers are left alone. */
+    private static void turn(World world, Random random, List<String> nodes, String spared) {
+        String node = any(random, nodes);
+        String peer = any(random, nodes);
+        String other = any(random, node.equals(spared) ? List.of("state", peer)
+                : List.of("state", "workers", "workers-east", "workers-west", peer));
+        switch (random.nextInt(8)) {
+            case 0, 1 -> world.network().cut(node, other, Cut.HOLD);
+            case 2 -> world.network().cut(node, other, Cut.RESET);
+            case 3 -> world.network().cut(node, other, Cut.REFUSE);
+            case 4 -> world.network().cutOneWay(node, other, Cut.HOLD);
+            case 5 -> world.network().cutOneWay(other, node, Cut.HOLD);
+            case 6 -> world.state().refuse(node, random.nextBoolean());
+            default -> world.network().heal(node, other);
+        }
+    }
+
+    private static void healAll(World world) {
+        for (String node : world.nodes()) {
+            world.state().refuse(node, false);
+            for (String other : List.of("state", "workers", "workers-east", "workers-west")) {
+                world.network().heal(node, other);
+            }
+            world.nodes().forEach(peer -> world.network().heal(node, peer));
+        }
+        world.state().outage(false);
+    }
+
+    private static void finish(World world, String what) {
+        healAll(world);
+        world.simulation().runUntil(world.simulation().now() + 260_000);
+        assertEquals(List.of(), world.rules().breaches(), what);
+        for (String job : JOBS) {
+            assertEquals("done", world.told(job), what + " " + job);
+        }
+    }
+
+    /** As long as one controller keeps all its links, there is a path for every report and every call. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void whereAPathIsLeftNoTaskDiesWithItsLease(int seed) throws Exception {
+        Random random = new Random(seed);
+        World world = world();
+        List<String> nodes = world.nodes().stream().filter(node -> !node.equals(WHOLE)).toList();
+        for (int i = 0; i < 25; i++) {
+            turn(world, random, nodes, HEARD);
+            world.simulation().runUntil(world.simulation().now() + 500 + random.nextInt(4500));
+        }
+        assertEquals(0, world.rules().killedByLease(), "seed " + seed);
+        finish(world, "seed " + seed);
+    }
+
+    /** Links, controllers and the state service, all at once; what is lost is done again, and no rule is broken. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noRuleIsBrokenWhateverFails(int seed) throws Exception {
+        Random random = new Random(1000 + seed);
+        World world = world();
+        for (int i = 0; i < 30; i++) {
+            String node = any(random, world.nodes());
+            switch (random.nextInt(9)) {
+                case 0 -> world.crash(node, 200 + random.nextInt(6000));
+                case 1 -> world.freeze(node, 500 + random.nextInt(20_000));
+                case 2 -> world.state().outage(random.nextInt(3) == 0);
+                case 3 -> world.state().loseCommits(1 + random.nextInt(3), random.nextInt(20_000));
+                case 4 -> {
+                    if (i == 15) {
+                        world.cancel(JOBS.get(2));
+                    }
+                }
+                default -> turn(world, random, world.nodes(), null);
+            }
+            world.simulation().runUntil(world.simulation().now() + 200 + random.nextInt(4000));
+        }
+        healAll(world);
+        world.simulation().runUntil(world.simulation().now() + 260_000);
+        assertEquals(List.of(), world.rules().breaches(), "seed " + seed);
+        for (String job : JOBS) {
+            assertTrue(List.of("done", "cancelled").contains(world.told(job)), "seed " + seed + " " + job);
+        }
+    }
+}
--- a/src/test/java/notchpick/bookkeeping/ProductionFormsTest.java
+++ b/src/test/java/notchpick/bookkeeping/ProductionFormsTest.java
@@ -29,11 +29,12 @@
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Outcome;
+import notchpick.protocol.peer.Outcomes;
 import notchpick.protocol.peer.Placements;
 import notchpick.protocol.peer.Pulse;
 import notchpick.protocol.peer.Relay;
 import notchpick.protocol.peer.Relayed;
-import notchpick.protocol.peer.ReportCall;
+import notchpick.protocol.peer.ReportBatch;
 import notchpick.protocol.peer.StateCall;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
@@ -180,8 +181,9 @@
     @Test
     void laterMessagesAreRefusedByIt() throws IOException {
         ByteBuffer content = ByteBuffer.wrap(new byte[] {1, 2, 3});
-        List<Object> later = List.of(new ReportCall(4000L, content), new StateCall("GET", "/x", null, 1500L),
-                new Outcome(200, content), new LinkTable("n-0", 1L, null, null, 0L, List.of()));
+        List<Object> later = List.of(new ReportBatch(4000L, List.of(content)), new StateCall("GET", "/x", null, 1500L),
+                new Outcome(200, content),
+                new Outcomes(List.of(new Outcome(200, content))), new LinkTable("n-0", 1L, null, null, 0L, List.of()));
         Schema old = productionSchema();
         assertEquals(old.getField("body").schema().getTypes().size() + later.size(),
                 Envelope.getClassSchema().getField("body").schema().getTypes().size());
--- a/src/test/java/notchpick/rehearsal/Rehearsal.java
+++ b/src/test/java/notchpick/rehearsal/Rehearsal.java
@@ -65,7 +65,7 @@
                 Map.of(ports.get(0), stateInTurn, ports.get(1), cloudInTurn,
                         ports.get(4), (call, reply) -> reply.accept(
                                 new notchpick.transport.Caller.Answer(200, PeerWire.bytes(pulse())))),
-                "", 30_000);
+                "", 30_000, 1000, 2000);
         server.start();
         Path settings = Files.createTempFile("rehearsal", ".json");
         Files.write(settings, Json.bytes(settings(ports)));
--- a/src/test/java/notchpick/transport/SocketTest.java
+++ b/src/test/java/notchpick/transport/SocketTest.java
@@ -4,10 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import notchpick.transport.Caller.Answer;
 import notchpick.transport.Caller.Call;
@@ -20,6 +26,7 @@
 
 /** Server and client over real sockets. */
 class SocketTest {
+    private static final int MOST = 20;
     private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
     private String address;
@@ -37,6 +44,10 @@
             if (call.path().equals("/never")) {
                 return;
             }
+            if (call.path().equals("/last")) {
+                reply.accept(new Answer(503, new byte[0]).last());
+                return;
+            }
             if (call.path().equals("/broken")) {
                 throw new IllegalStateException("broken");
             }
@@ -44,11 +55,47 @@
                     : (call.method() + " " + call.path()).getBytes(StandardCharsets.UTF_8);
             reply.accept(new Answer(201, body));
         };
-        server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(), Map.of(address, echo), "", 30_000);
+        server = new JettyServer(threads, scheduler, new ArrayByteBufferPool(), Map.of(address, echo), "", 30_000, MOST,
+                500);
         server.start();
         caller = new JettyCaller(threads, scheduler, 4, 1000);
     }
 
+    /** A crowd must not take every connection that the process may hold; idle ones make room for others. */
+    @Test
+    void idleConnectionsGiveWayWhenThereAreTooMany() throws Exception {
+        ExecutorService reading = Executors.newCachedThreadPool();
+        List<Socket> idle = new ArrayList<>();
+        int colon = address.lastIndexOf(':');
+        for (int i = 0; i < MOST; i++) {
+            idle.add(new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+        }
+        // All are taken, and would be for half a minute if nothing were done.
+        List<CompletableFuture<Integer>> ends = idle.stream().map(socket -> CompletableFuture.supplyAsync(() -> {
+            try {
+                return socket.getInputStream().read();
+            } catch (IOException e) {
+                return -1;
+            }
+        }, reading)).toList();
+        assertEquals(-1, CompletableFuture.anyOf(ends.toArray(new CompletableFuture<?>[0])).get(20, TimeUnit.SECONDS));
+        assertEquals(201, call("POST", "/x", new byte[10], 20_000).status());
+        for (Socket socket : idle) {
+            socket.close();
+        }
+        reading.shutdown();
+    }
+
+    @Test
+    void anAnswerMayEndItsConnection() throws Exception {
+        Socket socket = new Socket("127.0.0.1", Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write("GET /last HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(all.startsWith("HTTP/1.1 503") && all.contains("Connection: close"), all);
+        socket.close();
+    }
+
     @AfterEach
     void stop() throws Exception {
         caller.stop();
