--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -1,6 +1,7 @@
 package notchpick.app;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
@@ -65,6 +66,29 @@
         return run(config, tuning, true);
     }
 
+    @Command(description = "Asks all controllers of the deployment how their links are, and prints that; status 1 if none "
+            + "answered.", mixinStandardHelpOptions = true)
+    int status() throws Exception {
+        Deployment deployment;
+        try {
+            deployment = Settings.read(config);
+        } catch (Settings.Unusable e) {
+            System.err.println("notchpick: " + e.getMessage());
+            return 2;
+        }
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
+        threads.start();
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", true);
+        scheduler.start();
+        JettyCaller caller = new JettyCaller(threads, scheduler, 1, CONNECT_TIMEOUT_MS);
+        List<LinkReport.Asked> all = LinkReport.ask(deployment, caller);
+        all.forEach(asked -> System.out.print(LinkReport.text(asked)));
+        caller.stop();
+        scheduler.stop();
+        threads.stop();
+        return all.stream().allMatch(asked -> asked.answer().isNone()) ? 1 : 0;
+    }
+
     private static int run(Path config, Path tuning, boolean check) {
         Deployment deployment;
         Tuning tuned;
--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -81,8 +81,8 @@
     private boolean begun;
     private boolean loaded;
     private long lastReportAt;
-    /** When it was last seen that a worker got an answer from here by itself. */
-    private long lastDirectAt;
+    /** Since when reports have come by others only; 0: some worker gets its answers from here. */
+    private long passedSince;
     private long bypassedSince;
     private boolean roundDue;
     private long rounds;
@@ -104,7 +104,6 @@
         this.term = term;
         this.claimUntil = claimUntil;
         this.lastReportAt = loop.now();
-        this.lastDirectAt = loop.now();
         this.bypassedSince = loop.now();
         this.awakeSince = loop.now();
         this.graceMs = deployment.graceMs(leaderLeaseMs / 1000.0);
@@ -202,9 +201,12 @@
     /** Who reports here twice running got the first answer; others may report here in vain. */
     private void noteWay(Report report, boolean passed) {
         Machine machine = roster.machines.get(report.machine());
+        if (passed && passedSince == 0) {
+            passedSince = loop.now();
+        }
         if (machine != null) {
             if (!passed && machine.reportsHere && report.sequence() == machine.sequence + 1) {
-                lastDirectAt = loop.now();
+                passedSince = 0;
                 links.workerHeard(report.zone());
             }
             machine.reportsHere = !passed;
@@ -286,7 +288,7 @@
             giveWay.accept("workers don't reach it, but do reach others");
         }
         double leaningMs = Candidacy.LEANING_LEASES * deployment.workerLeaseS() * 1000;
-        if (now - Math.max(lastDirectAt, awakeSince) > leaningMs && now - lastReportAt < deployment.reportS() * 1000) {
+        if (passedSince != 0 && now - Math.max(passedSince, awakeSince) > leaningMs) {
             giveWay.accept("workers reach it only through others");
         } else if (detourMs.getAsLong() > leaningMs) {
             giveWay.accept("it reaches the state service only through others");
--- a/src/main/java/notchpick/coordination/membership/Peers.java
+++ b/src/main/java/notchpick/coordination/membership/Peers.java
@@ -97,6 +97,7 @@
     /** A controller of a version that knows of no links refuses the message, and is not counted on to pass calls. */
     private void tellLinks() {
         LinkTable table = ownLinks.get();
+        log.debug("links {}", table);
         for (Deployment.Peer peer : deployment.peers()) {
             ask(peer.node(), table, 2 * periodMs, reply -> {
                 if (reply instanceof LinkTable links) {
