--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -282,7 +282,7 @@
             giveWay.accept("cancellations can't be read");
         }
         // One worker that has just come up, and asks its way to the leader, is no sign of a cut.
-        if (now - Math.max(lastReportAt, awakeSince) < deployment.workerLeaseS() * 300 || peers.redirects() == 0) {
+        if (now - Math.max(lastReportAt, awakeSince) < deployment.workerLeaseS() * 300 || !othersMayDoBetter()) {
             bypassedSince = now;
         } else if (now - bypassedSince > deployment.workerLeaseS() * 300) {
             giveWay.accept("workers don't reach it, but do reach others");
@@ -302,6 +302,15 @@
         }
     }
 
+    /**
+     * Whether others are known to see workers, or nothing is known of any other while workers should report: then it
+     * is more likely that this controller is cut off than that all of them are gone.
+     */
+    private boolean othersMayDoBetter() {
+        return peers.redirects() > 0 || !deployment.peers().isEmpty() && peers.live().isEmpty()
+                && roster.machines.values().stream().anyMatch(machine -> machine.life == Life.UP);
+    }
+
     /**
      * In an outage nobody can read cancellations, nor be elected: to give way would only end the grace in which
      * reports are answered. When it is over, they come within a report's time, or another one shall read them.
