--- a/src/main/java/notchpick/coordination/leading/Reports.java
+++ b/src/main/java/notchpick/coordination/leading/Reports.java
@@ -392,6 +392,9 @@
                 }
             }
         }
+        if (!orders.isEmpty()) {
+            LOG.debug("{} orders for {}", orders.size(), machine.name);
+        }
         open.reply().accept(orders.isEmpty() ? nothing() : orders(term, orders));
     }
 }
--- a/src/test/java/notchpick/load/FleetLoad.java
+++ b/src/test/java/notchpick/load/FleetLoad.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import notchpick.protocol.Json;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
@@ -32,7 +33,7 @@
 
 /**
  * Puts one real controller under the load of a fleet on loopback and tells what processor time it takes. Arguments:
- * machines, seconds of measuring, and the command that runs the controller, but for its settings file. The stand-ins
+ * machines (0: only the start), seconds of measuring, and the command that runs the controller, but for its settings file. The stand-ins
  * keep real time here.
  */
 public final class FleetLoad implements WorkerStandIn.Jobs {
@@ -75,7 +76,7 @@
         threads.start();
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
         scheduler.start();
-        JettyCaller sockets = new JettyCaller(threads, scheduler, 2 * machines, 2000);
+        JettyCaller sockets = new JettyCaller(threads, scheduler, Math.max(4, 2 * machines), 2000);
         Caller caller = (call, timeoutMs, then) -> sockets.call(call, timeoutMs,
                 answer -> arrived.add(() -> then.accept(answer)));
         Caller worker = (call, timeoutMs, then) -> {
@@ -91,13 +92,17 @@
         Handler stateInTurn = (call, reply) -> arrived.add(() -> state.handle(call, reply));
         Handler cloudInTurn = (call, reply) -> arrived.add(() -> cloud.handle(call, reply));
         new JettyServer(threads, scheduler, new ArrayByteBufferPool(),
-                Map.of(ports.get(0), stateInTurn, ports.get(1), cloudInTurn), "", 60_000, 2 * machines, 10_000).start();
+                Map.of(ports.get(0), stateInTurn, ports.get(1), cloudInTurn), "", 60_000, Math.max(100, 2 * machines), 10_000).start();
         Path settings = Files.createTempFile("fleet-load", ".json");
         Files.write(settings, Json.bytes(settings(ports)));
         command.add(settings.toString());
         Process controller = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD)
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         try {
+            awaitReady(caller, ports.get(2), controller);
+            if (machines == 0) {
+                return;
+            }
             simulation.after(3000, () -> submit(caller, ports.get(2)));
             playUntil(45_000);
             long cpu = ticks(controller);
@@ -110,12 +115,43 @@
                     + "%.3f ms a report, all told%n", machines, cpuS / seconds, (reports - reportsBefore) / (double) seconds,
                     (rules.starts() - startsBefore) / (double) seconds, (state.writes() - writesBefore) / (double) seconds,
                     1000 * cpuS / (reports - reportsBefore));
+            System.out.printf("high-water marks: %s of memory, %s threads%n", status(controller, "VmHWM"),
+                    status(controller, "Threads"));
         } finally {
             controller.destroy();
             controller.waitFor(30, TimeUnit.SECONDS);
             Files.deleteIfExists(settings);
+            System.exit(0);
+        }
+    }
+
+    /** Tells what processor time it took until the balancer's first probe would have been answered. */
+    private void awaitReady(Caller caller, String address, Process controller) throws Exception {
+        int[] status = {0};
+        for (long now = 0; status[0] != 200 && now < 30_000; now += 5) {
+            caller.call(new Call(address, "GET", "/ready", null), 1000, answer -> status[0] = answer.status());
+            playUntil((System.nanoTime() - startedAt) / 1_000_000 + 5);
+        }
+        System.out.printf("ready after %.0f ms of processor time%n", cpuMs(controller));
+    }
+
+    private static String status(Process process, String field) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            if (line.startsWith(field + ":")) {
+                return line.substring(field.length() + 1).strip();
+            }
+        }
+        return "?";
+    }
+
+    private static double cpuMs(Process process) throws IOException {
+        double nanos = 0;
+        try (Stream<Path> threads = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path thread : threads.toList()) {
+                nanos += Double.parseDouble(Files.readString(thread.resolve("schedstat")).split(" ")[0]);
+            }
         }
-        System.exit(0);
+        return nanos / 1e6;
     }
 
     /** Stand-ins run in this thread, by the real clock. */
--- a/src/test/java/notchpick/rehearsal/Rehearsal.java
+++ b/src/test/java/notchpick/rehearsal/Rehearsal.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -20,8 +21,11 @@
 import notchpick.protocol.Json;
 import notchpick.protocol.PeerWire;
 import notchpick.protocol.peer.Grant;
+import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Pulse;
+import notchpick.protocol.peer.ReportBatch;
 import notchpick.protocol.peer.Room;
+import notchpick.protocol.peer.StateCall;
 import notchpick.protocol.peer.Want;
 import notchpick.scheduling.Amounts;
 import notchpick.scheduling.FleetPlan.Pool;
@@ -165,6 +169,11 @@
                 List.of(new Want("run-000001", 1.0, 0.0, 1.0, "i", null, null, true, Map.of(), List.of(0))));
         until(200, "POST", peers + PeerWire.PATH, PeerWire.bytes(grant));
         until(200, "POST", peers + PeerWire.PATH, PeerWire.bytes(pulse()));
+        until(200, "POST", peers + PeerWire.PATH,
+                PeerWire.bytes(new LinkTable("r-1", 0L, null, null, 0L, List.of())));
+        until(200, "POST", peers + PeerWire.PATH, PeerWire.bytes(new StateCall("GET", "/keys/term", null, 1000L)));
+        until(200, "POST", peers + PeerWire.PATH,
+                PeerWire.bytes(new ReportBatch(3000L, List.of(ByteBuffer.wrap(report(100, 1, null))))));
         until(200, "POST", users + "/submissions/run-000001/abort", new byte[0]);
         call("GET", users + "/submissions/run-000003", null);
         call("GET", users + "/submissions/run-999999", null);
