--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -304,7 +304,8 @@
 
     @Override
     public void elected(long term, long version, long claimUntil) {
-        leader = new Leader(loop, deployment, tuning, state, cloud, peers, links, routes::detourMs, leaderLeaseMs, term, version, claimUntil,
+        leader = new Leader(loop, deployment, tuning, state, cloud, peers, links, routes::detourMs,
+                leaderLeaseMs, term, version, claimUntil,
                 why -> elector.tell(new Elector.GiveWay(why)));
         if (types != null) {
             leader.tell(new Leader.TypesKnown(types));
--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -66,8 +66,8 @@
         return run(config, tuning, true);
     }
 
-    @Command(description = "Asks all controllers of the deployment how their links are, and prints that; status 1 if none "
-            + "answered.", mixinStandardHelpOptions = true)
+    @Command(description = "Asks all controllers of the deployment how their links are, and prints that; status 1 "
+            + "if none answered.", mixinStandardHelpOptions = true)
     int status() throws Exception {
         Deployment deployment;
         try {
--- a/src/main/java/notchpick/coordination/membership/ReportRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/ReportRoutes.java
@@ -53,6 +53,7 @@
     private static final double REPLY_RATIO = 0.125;
     /** A worker that did not get through is tried again after so many leases at the most. */
     private static final int LEASES_BETWEEN_TRIES = 2;
+    private static final int MOST_DOUBLINGS = 8;
 
     /** What is known of a worker that has been here during this term. */
     private static final class Visit {
@@ -167,12 +168,15 @@
             }
         } else if (visit.passedAt == 0 || cameBack) {
             visit.failures++;
-            visit.notHomeBefore = now + Math.min(LEASES_BETWEEN_TRIES * leaseMs, reportMs << Math.min(visit.failures, 8));
+            long pauseMs = reportMs << Math.min(visit.failures, MOST_DOUBLINGS);
+            visit.notHomeBefore = now + Math.min(LEASES_BETWEEN_TRIES * leaseMs, pauseMs);
         }
         String keeper = keeper(leader, report);
         if (!deployment.node().equals(keeper) && (keeper == null || !isRecent(visit.sentOnAt, leaseMs))) {
             visit.sentOnAt = now;
-            redirect(came, keeper);
+            // A leader of a version that takes no passed reports can only be tried again.
+            boolean mayTryAgain = keeper == null && peers.linksOf(leader) == null && peers.live().contains(leader);
+            redirect(came, mayTryAgain ? leader : keeper);
         } else {
             pass(came, visit, leader);
         }
--- a/src/main/java/notchpick/coordination/membership/StateRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/StateRoutes.java
@@ -22,10 +22,7 @@
  * once. One that stays silent may have been: it is given up as lost as soon as a hasty request, which may be sent
  * twice, has come back by another way. Whoever sent it bears that it is carried out late, as always.
  */
-public final class StateRoutes extends Actor<StateRoutes.Begin> implements StateWay {
-    /** What this actor is told. */
-    public record Begin() {}
-
+public final class StateRoutes extends Actor<Void> implements StateWay {
     private static final int TURNED_AWAY = 503;
     /** A hasty request that is silent for so long, as a part of the leader's lease, is sent by another way as well. */
     private static final double HEDGE_RATIO = 0.08;
@@ -86,8 +83,8 @@
     }
 
     @Override
-    protected void receive(Begin message) {
-        // All else comes by send.
+    protected void receive(Void message) {
+        throw new IllegalStateException("it is sent requests, and told nothing");
     }
 
     /** The peer by which the state service is reached; null: directly, or not at all. */
--- a/src/test/java/notchpick/LayersTest.java
+++ b/src/test/java/notchpick/LayersTest.java
@@ -51,7 +51,8 @@
     @Test
     void everyFolderIsALayer() throws IOException {
         try (Stream<Path> folders = Files.walk(SOURCES)) {
-            List<String> unknown = folders.filter(Files::isDirectory).map(folder -> SOURCES.relativize(folder).toString())
+            List<String> unknown = folders.filter(Files::isDirectory)
+                    .map(folder -> SOURCES.relativize(folder).toString())
                     .filter(name -> !name.isEmpty() && !name.equals("app"))
                     .map(name -> name.replace('/', '.')).filter(name -> !MAY_KNOW.containsKey(name)).toList();
             assertEquals(List.of(), unknown);
--- a/src/test/java/notchpick/load/FleetLoad.java
+++ b/src/test/java/notchpick/load/FleetLoad.java
@@ -33,8 +33,8 @@
 
 /**
  * Puts one real controller under the load of a fleet on loopback and tells what processor time it takes. Arguments:
- * machines (0: only the start), seconds of measuring, and the command that runs the controller, but for its settings file. The stand-ins
- * keep real time here.
+ * machines (0: only the start), seconds of measuring, and the command that runs the controller, but for its settings
+ * file. The stand-ins keep real time here.
  */
 public final class FleetLoad implements WorkerStandIn.Jobs {
     private static final double REPORT_S = 5;
@@ -92,7 +92,8 @@
         Handler stateInTurn = (call, reply) -> arrived.add(() -> state.handle(call, reply));
         Handler cloudInTurn = (call, reply) -> arrived.add(() -> cloud.handle(call, reply));
         new JettyServer(threads, scheduler, new ArrayByteBufferPool(),
-                Map.of(ports.get(0), stateInTurn, ports.get(1), cloudInTurn), "", 60_000, Math.max(100, 2 * machines), 10_000).start();
+                Map.of(ports.get(0), stateInTurn, ports.get(1), cloudInTurn), "", 60_000,
+                Math.max(100, 2 * machines), 10_000).start();
         Path settings = Files.createTempFile("fleet-load", ".json");
         Files.write(settings, Json.bytes(settings(ports)));
         command.add(settings.toString());
@@ -111,9 +112,10 @@
             long writesBefore = state.writes();
             playUntil(45_000 + seconds * 1000L);
             double cpuS = (ticks(controller) - cpu) / (double) TICKS_PER_S;
+            double span = seconds;
             System.out.printf("machines %d: %.3f of a core, %.1f reports/s, %.1f starts/s, %.1f writes/s, "
-                    + "%.3f ms a report, all told%n", machines, cpuS / seconds, (reports - reportsBefore) / (double) seconds,
-                    (rules.starts() - startsBefore) / (double) seconds, (state.writes() - writesBefore) / (double) seconds,
+                    + "%.3f ms a report, all told%n", machines, cpuS / span, (reports - reportsBefore) / span,
+                    (rules.starts() - startsBefore) / span, (state.writes() - writesBefore) / span,
                     1000 * cpuS / (reports - reportsBefore));
             System.out.printf("high-water marks: %s of memory, %s threads%n", status(controller, "VmHWM"),
                     status(controller, "Threads"));
@@ -167,7 +169,8 @@
     }
 
     private static long ticks(Process process) throws IOException {
-        String[] fields = Files.readString(Path.of("/proc/" + process.pid() + "/stat")).replaceFirst(".*\\) ", "").split(" ");
+        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
     }
 
@@ -193,7 +196,8 @@
         deployment.putArray("zones").add("east").add("west");
         deployment.putArray("teams").addObject().put("name", "a");
         deployment.putObject("workers").put("report_s", REPORT_S).put("lease_s", 30.0).put("cancel_s", 60.0);
-        deployment.putObject("state").put("rps", 1000.0).put("write_rps", 60.0).put("value_kb", 16.0).put("txn_ops", 12);
+        deployment.putObject("state").put("rps", 1000.0).put("write_rps", 60.0).put("value_kb", 16.0)
+                .put("txn_ops", 12);
         deployment.putObject("cloud").put("rps", 10.0).put("list_lag_s", 3.0);
         deployment.putObject("machine_limits").put("fd_limit", 4000);
         return root;
