Start-up: no comparing of records, no schema and no look for a security manager before the first answer

Cause: comparing an answer with a constant made the JVM build the record's equals at start, the links' conditions were an Avro enum whose class parses its schema, and Jetty's thread factory looks for a security manager.

--- a/src/main/java/notchpick/app/LinkReport.java
+++ b/src/main/java/notchpick/app/LinkReport.java
@@ -50,7 +50,7 @@
     /** One paragraph for a controller. */
     static String text(Asked asked) {
         Answer answer = asked.answer();
-        if (answer.equals(Answer.UNSENT)) {
+        if (answer.isUnsent()) {
             return asked.node() + ": connection refused\n";
         }
         if (answer.isNone()) {
--- a/src/main/java/notchpick/app/Main.java
+++ b/src/main/java/notchpick/app/Main.java
@@ -29,6 +29,7 @@
     private static final long CONNECT_TIMEOUT_MS = 1000;
     private static final int CONNECTIONS_PER_TARGET = 16;
     private static final int THREADS = 16;
+    private static final int IDLE_THREAD_MS = 60_000;
 
     @Option(names = "--config", required = true, scope = ScopeType.INHERIT, paramLabel = "FILE",
             description = "the platform's settings (JSON)")
@@ -112,8 +113,9 @@
     }
 
     private static void serve(Deployment deployment, Tuning tuned) throws Exception {
-        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
-        threads.setName("jetty");
+        // Jetty's own way to make threads looks for a security manager, which takes a tenth of the start.
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4, IDLE_THREAD_MS, -1, null, null,
+                work -> new Thread(work, "jetty"));
         threads.start();
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", false);
         scheduler.start();
--- a/src/main/java/notchpick/coordination/membership/Link.java
+++ b/src/main/java/notchpick/coordination/membership/Link.java
@@ -1,16 +1,18 @@
 package notchpick.coordination.membership;
 
-import notchpick.protocol.peer.LinkCondition;
 import notchpick.transport.Caller.Answer;
 
 /** One link of this controller, judged by the traffic that flows over it anyway. */
 final class Link {
+    /** The words of the wire, but not its classes: these are made from a schema, which a start can't wait for. */
+    enum Condition { UNKNOWN, UP, REFUSED, TURNED_AWAY, SILENT }
+
     /** The newest delay weighs so much in the mean. */
     private static final double NEWEST = 0.2;
     private static final int TURNED_AWAY = 503;
 
     private final long periodMs;
-    private LinkCondition condition = LinkCondition.UNKNOWN;
+    private Condition condition = Condition.UNKNOWN;
     private long at = -1;
     private double delayMs = -1;
     private long periodStart;
@@ -24,13 +26,13 @@
 
     /** A call over this link came to an end. */
     void ended(Answer answer, long sentAt, long now) {
-        if (answer.equals(Answer.UNSENT)) {
-            condition = LinkCondition.REFUSED;
+        if (answer.isUnsent()) {
+            condition = Condition.REFUSED;
         } else if (answer.isNone()) {
-            condition = LinkCondition.SILENT;
+            condition = Condition.SILENT;
         } else {
             sign(now);
-            condition = answer.status() == TURNED_AWAY ? LinkCondition.TURNED_AWAY : LinkCondition.UP;
+            condition = answer.status() == TURNED_AWAY ? Condition.TURNED_AWAY : Condition.UP;
             double delay = now - sentAt;
             delayMs = delayMs < 0 ? delay : delayMs + NEWEST * (delay - delayMs);
         }
@@ -39,7 +41,7 @@
     /** Something came in over this link. */
     void heard(long now) {
         sign(now);
-        condition = LinkCondition.UP;
+        condition = Condition.UP;
     }
 
     private void sign(long now) {
@@ -59,7 +61,7 @@
     }
 
     /** That nothing is known of a link does not say that it is down. */
-    LinkCondition condition() {
+    Condition condition() {
         return condition;
     }
 
--- a/src/main/java/notchpick/coordination/membership/Links.java
+++ b/src/main/java/notchpick/coordination/membership/Links.java
@@ -57,7 +57,7 @@
     /** Whether a peer has answered within this time, and the last call to it was answered too. */
     boolean answers(String node, long withinMs) {
         Link link = peers.get(node);
-        return link != null && link.condition() == LinkCondition.UP && link.isFresh(loop.now(), withinMs);
+        return link != null && link.condition() == Link.Condition.UP && link.isFresh(loop.now(), withinMs);
     }
 
     /** Since any worker last got an answer from here; -1: none ever. */
@@ -78,7 +78,7 @@
 
     private LinkRow row(LinkKind kind, String name, Link link) {
         long now = loop.now();
-        return new LinkRow(kind, name, link.condition(), link.ageMs(now),
+        return new LinkRow(kind, name, LinkCondition.valueOf(link.condition().name()), link.ageMs(now),
                 link.delayMs(), link.perS(now));
     }
 }
--- a/src/main/java/notchpick/coordination/membership/StateRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/StateRoutes.java
@@ -140,7 +140,7 @@
     /** One copy has come to nothing; the last of them is the request's end, unless there is another way. */
     private void failed(Sent sent, Answer answer) {
         sent.out--;
-        boolean mayGoAgain = sent.hasty || answer.equals(Answer.UNSENT) || answer.status() == TURNED_AWAY;
+        boolean mayGoAgain = sent.hasty || answer.isUnsent() || answer.status() == TURNED_AWAY;
         if (!sent.over && !(mayGoAgain && detour(sent)) && sent.out == 0) {
             end(sent, answer);
         }
--- a/src/main/java/notchpick/transport/Caller.java
+++ b/src/main/java/notchpick/transport/Caller.java
@@ -30,6 +30,14 @@
             this(status, body, retryAfterS, false);
         }
 
+        /**
+         * Whether the request surely has not been sent. Not by comparing with {@link #UNSENT}: what compares records
+         * is made when it is first used, which takes a tenth of the start.
+         */
+        public boolean isUnsent() {
+            return status == UNSENT.status;
+        }
+
         /** The same to somebody who will go elsewhere: the connection ends with it. */
         public Answer last() {
             return new Answer(status, body, retryAfterS, true);
