Routes: those who pass reports on share the work, by the machine's name

Change: when there is much to pass on, one worker at a time is sent to another controller to see; if it gets through, others follow.

--- a/src/main/java/notchpick/coordination/membership/ReportRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/ReportRoutes.java
@@ -86,10 +86,14 @@
     private final Queue<Waiting> waiting = new ArrayDeque<>();
     /** By zone, when a worker was last sent to the leader only to see whether it gets through. */
     private final Map<String, Long> triedAt = new HashMap<>();
+    /** By controller that might share the work, when a worker was last sent there to see. */
+    private final Map<String, Long> helpAskedAt = new HashMap<>();
     private int redirects;
     private boolean flushing;
     private int batchesOut;
     private long passed;
+    /** How many it passed on in the last whole report period. */
+    private long passedLately;
 
     public ReportRoutes(EventLoop loop, Deployment deployment, Elector elector, Peers peers, Links links) {
         super(loop);
@@ -133,8 +137,9 @@
         }
         if (passed > 0) {
             log.info("passed {} reports on", passed);
-            passed = 0;
         }
+        passedLately = passed;
+        passed = 0;
     }
 
     private void route(Came came, Report report) {
@@ -171,7 +176,11 @@
             long pauseMs = reportMs << Math.min(visit.failures, MOST_DOUBLINGS);
             visit.notHomeBefore = now + Math.min(LEASES_BETWEEN_TRIES * leaseMs, pauseMs);
         }
-        String keeper = keeper(leader, report);
+        List<String> able = able(leader, report.zone());
+        String keeper = helper(leader, report, able, visit);
+        if (keeper == null) {
+            keeper = keeper(report, able);
+        }
         if (!deployment.node().equals(keeper) && (keeper == null || !isRecent(visit.sentOnAt, leaseMs))) {
             visit.sentOnAt = now;
             // A leader of a version that takes no passed reports can only be tried again.
@@ -217,23 +226,50 @@
         return true;
     }
 
+    /** Who passes this worker's reports on, by its name, so that they share the work; null: nobody here knows a way. */
+    private static String keeper(Report report, List<String> able) {
+        return able.isEmpty() ? null : able.get(Math.floorMod(report.machine().hashCode(), able.size()));
+    }
+
     /**
-     * Who passes this worker's reports on: one of those that reach the leader and are reached by its zone's workers,
-     * by the machine's name, so that they share the work. Null: nobody here knows a way.
+     * Another controller that reaches the leader, but has not shown that it is reached by workers, as none had reason
+     * to come to it. When there is much to pass on, now and then one that would be its to keep goes and sees; if it
+     * gets through, others follow. Null: nobody is to be tried now.
      */
-    private String keeper(String leader, Report report) {
+    private String helper(String leader, Report report, List<String> able, Visit visit) {
+        if (passedLately < BATCH || able.isEmpty() || isRecent(visit.sentOnAt, leaseMs)) {
+            return null;
+        }
+        for (String peer : peers.live()) {
+            List<String> all = new ArrayList<>(able);
+            all.add(peer);
+            Collections.sort(all);
+            if (!able.contains(peer) && peer.equals(keeper(report, all)) && reaches(peer, leader)
+                    && !isRecent(helpAskedAt.getOrDefault(peer, 0L), leaseMs / 2)) {
+                helpAskedAt.put(peer, loop.now());
+                return peer;
+            }
+        }
+        return null;
+    }
+
+    private boolean reaches(String peer, String leader) {
+        return !peer.equals(leader) && peers.linkAgeMs(peer, LinkKind.PEER, leader) >= 0;
+    }
+
+    /** Those that reach the leader and are reached by the zone's workers. */
+    private List<String> able(String leader, String zone) {
         List<String> able = new ArrayList<>();
         if (peers.canPass(leader)) {
             able.add(deployment.node());
         }
         for (String peer : peers.live()) {
-            if (!peer.equals(leader) && peers.linkAgeMs(peer, LinkKind.PEER, leader) >= 0
-                    && serves(peer, report.zone(), 2 * reportMs)) {
+            if (reaches(peer, leader) && serves(peer, zone, 2 * reportMs)) {
                 able.add(peer);
             }
         }
         Collections.sort(able);
-        return able.isEmpty() ? null : able.get(Math.floorMod(report.machine().hashCode(), able.size()));
+        return able;
     }
 
     private void pass(Came came, Visit visit, String leader) {
