--- a/src/test/java/notchpick/LayersTest.java
+++ b/src/test/java/notchpick/LayersTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
@@ -73,6 +74,24 @@
         }
     }
 
+    /**
+     * Opinions of links and peers choose whom to ask. What frees a task, a machine or a term rests on facts: of the
+     * leader's parts only the one that gives way and the one that leases room out know of them.
+     */
+    @Test
+    void nothingThatFreesAsksHowALinkIs() throws IOException {
+        List<String> asking = new ArrayList<>();
+        for (String layer : List.of("bookkeeping", "coordination.leading")) {
+            for (Path file : sources(layer)) {
+                if (Files.readString(file).contains("notchpick.coordination.membership.")) {
+                    asking.add(file.getFileName().toString());
+                }
+            }
+        }
+        asking.sort(null);
+        assertEquals(List.of("Leader.java", "RoomLeases.java"), asking);
+    }
+
     @Test
     void schedulingDoesNoInputOrOutputAndHasNoClock() throws IOException {
         Pattern outside = Pattern.compile(
