--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -175,7 +175,7 @@
             int index = i;
             Consumer<Answer> one = answer -> outcomes.put(index, outcome(answer));
             try {
-                Report report = WorkerWire.report(Json.object(bytes(batch.getReports().get(i))));
+                Report report = WorkerWire.report(Json.object(PeerWire.content(batch.getReports().get(i))));
                 if (leader != null) {
                     leader.tell(new Leader.Reported(report, one, true));
                 } else {
@@ -188,15 +188,6 @@
         }
     }
 
-    private static byte[] bytes(ByteBuffer buffer) {
-        if (buffer == null) {
-            return null;
-        }
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return bytes;
-    }
-
     /** Tells a controller what came of a call that it had this one make. */
     private static Consumer<Answer> outcome(Consumer<Answer> reply) {
         return answer -> reply.accept(new Answer(200, PeerWire.bytes(outcome(answer))));
@@ -216,7 +207,7 @@
         } else if (body instanceof ReportBatch batch) {
             passedReports(batch, reply, at);
         } else if (body instanceof StateCall passed) {
-            state.pass(passed.getMethod(), passed.getPath(), bytes(passed.getContent()),
+            state.pass(passed.getMethod(), passed.getPath(), PeerWire.content(passed.getContent()),
                     passed.getTimeoutMs() - (loop.now() - at), outcome(reply));
         } else if (body instanceof LinkTable table) {
             peers.tell(new Peers.LinksTold(table, own -> reply.accept(new Answer(200, PeerWire.bytes(own)))));
--- a/src/main/java/notchpick/coordination/membership/ReportRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/ReportRoutes.java
@@ -13,6 +13,7 @@
 import notchpick.coordination.Deployment;
 import notchpick.protocol.InvalidMessage;
 import notchpick.protocol.Json;
+import notchpick.protocol.PeerWire;
 import notchpick.protocol.UserWire;
 import notchpick.protocol.WorkerWire;
 import notchpick.protocol.WorkerWire.Report;
@@ -341,8 +342,6 @@
         if (outcome.getStatus() == 200) {
             one.visit().passedAt = loop.now();
         }
-        byte[] content = new byte[outcome.getContent().remaining()];
-        outcome.getContent().get(content);
-        one.came().reply().accept(new Answer(outcome.getStatus(), content));
+        one.came().reply().accept(new Answer(outcome.getStatus(), PeerWire.content(outcome.getContent())));
     }
 }
--- a/src/main/java/notchpick/coordination/membership/StateRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/StateRoutes.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import notchpick.protocol.PeerWire;
 import notchpick.protocol.StateWay;
 import notchpick.protocol.peer.Outcome;
 import notchpick.protocol.peer.StateCall;
@@ -215,7 +216,7 @@
 
     private void answered(String node, Sent sent, Object reply) {
         Answer answer = reply instanceof Outcome outcome
-                ? new Answer(outcome.getStatus(), bytes(outcome.getContent())) : Answer.NONE;
+                ? new Answer(outcome.getStatus(), PeerWire.content(outcome.getContent())) : Answer.NONE;
         if (isServed(answer)) {
             sent.peerAnswered = true;
             boolean first = !sent.over;
@@ -248,10 +249,4 @@
             }
         }
     }
-
-    private static byte[] bytes(ByteBuffer buffer) {
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return bytes;
-    }
 }
--- a/src/main/java/notchpick/protocol/PeerWire.java
+++ b/src/main/java/notchpick/protocol/PeerWire.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import notchpick.protocol.peer.Envelope;
 import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
@@ -25,6 +26,16 @@
         }
     }
 
+    /** What a passed call or its outcome carries; null if it carries nothing. */
+    public static byte[] content(ByteBuffer buffer) {
+        if (buffer == null) {
+            return null;
+        }
+        byte[] content = new byte[buffer.remaining()];
+        buffer.get(content);
+        return content;
+    }
+
     /** The message in these bytes, or null if they hold none. */
     public static Object body(byte[] bytes) {
         if (bytes.length == 0) {
