--- a/src/test/java/notchpick/load/FleetLoad.java
+++ b/src/test/java/notchpick/load/FleetLoad.java
@@ -33,17 +33,17 @@
 
 /**
  * Puts one real controller under the load of a fleet on loopback and tells what processor time it takes. Arguments:
- * machines (0: only the start), seconds of measuring, and the command that runs the controller, but for its settings
- * file. The stand-ins keep real time here.
+ * machines (0: only the start), seconds of measuring, seconds that a task runs, and the command that runs the
+ * controller, but for its settings file. The stand-ins keep real time here.
  */
 public final class FleetLoad implements WorkerStandIn.Jobs {
     private static final double REPORT_S = 5;
-    private static final double RUN_S = 60;
     private static final int TASKS_A_MACHINE = 4;
     private static final int TASKS_A_JOB = 200;
     private static final long TICKS_PER_S = 100;
 
     private final int machines;
+    private final double runS;
     private final Simulation simulation = new Simulation();
     private final ConcurrentLinkedQueue<Runnable> arrived = new ConcurrentLinkedQueue<>();
     private final long startedAt = System.nanoTime();
@@ -53,13 +53,14 @@
     private long reports;
     private int jobs;
 
-    private FleetLoad(int machines) {
+    private FleetLoad(int machines, double runS) {
         this.machines = machines;
+        this.runS = runS;
     }
 
     public static void main(String[] args) throws Exception {
-        new FleetLoad(Integer.parseInt(args[0])).run(Integer.parseInt(args[1]),
-                new ArrayList<>(List.of(args).subList(2, args.length)));
+        new FleetLoad(Integer.parseInt(args[0]), Double.parseDouble(args[2])).run(Integer.parseInt(args[1]),
+                new ArrayList<>(List.of(args).subList(3, args.length)));
     }
 
     private void run(int seconds, List<String> command) throws Exception {
@@ -181,7 +182,7 @@
                     .put("ownerDesk", "a").put("jobForm", "sweep").put("urgency", "normal").put("pieces", TASKS_A_JOB)
                     .put("cores", demand.cores()).put("gpus", 0.0).put("ramGb", demand.ram())
                     .put("bundle", "img-" + jobs % 8).put("sizeGb", 1.0).put("oneZone", false).put("apart", false)
-                    .put("borrowed", true).put("expectedS", RUN_S).put("bookmarkS", 0.0).put("bookmarkWriteS", 0.0);
+                    .put("borrowed", true).put("expectedS", runS).put("bookmarkS", 0.0).put("bookmarkWriteS", 0.0);
             caller.call(new Call(address, "POST", "/submissions", Json.bytes(body)), 5000, answer -> { });
         }
         simulation.after(1000, () -> submit(caller, address));
@@ -210,7 +211,7 @@
 
     @Override
     public long runMs(String task) {
-        return (long) (RUN_S * 1000 * (0.5 + Math.floorMod(task.hashCode() * 31L, 1000) / 1000.0));
+        return (long) (runS * 1000 * (0.5 + Math.floorMod(task.hashCode() * 31L, 1000) / 1000.0));
     }
 
     @Override
