--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -26,7 +26,6 @@
 import notchpick.protocol.StateApi.Ok;
 import notchpick.protocol.UserWire;
 import notchpick.protocol.WorkerWire;
-import notchpick.protocol.WorkerWire.Report;
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.LinkTable;
 import notchpick.protocol.peer.Outcome;
@@ -156,8 +155,12 @@
             reportRoutes.tell(new ReportRoutes.Came(call, reply, at));
             return;
         }
+        reported(call.body(), reply, false);
+    }
+
+    private void reported(byte[] body, Consumer<Answer> reply, boolean passed) {
         try {
-            leader.tell(new Leader.Reported(WorkerWire.report(Json.object(call.body())), reply, false));
+            leader.tell(new Leader.Reported(WorkerWire.report(Json.object(body)), reply, passed));
         } catch (InvalidMessage e) {
             reply.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
         }
@@ -174,16 +177,11 @@
         for (int i = 0; i < batch.getReports().size() && restMs > 0; i++) {
             int index = i;
             Consumer<Answer> one = answer -> outcomes.put(index, outcome(answer));
-            try {
-                Report report = WorkerWire.report(Json.object(PeerWire.content(batch.getReports().get(i))));
-                if (leader != null) {
-                    leader.tell(new Leader.Reported(report, one, true));
-                } else {
-                    one.accept(new Answer(421, Json.bytes(WorkerWire.redirect(
-                            deployment.node().equals(elector.leader()) ? null : elector.leader()))));
-                }
-            } catch (InvalidMessage e) {
-                one.accept(new Answer(400, Json.bytes(UserWire.error(e.getMessage()))));
+            if (leader != null) {
+                reported(PeerWire.content(batch.getReports().get(i)), one, true);
+            } else {
+                one.accept(new Answer(421, Json.bytes(WorkerWire.redirect(
+                        deployment.node().equals(elector.leader()) ? null : elector.leader()))));
             }
         }
     }
--- a/src/main/java/notchpick/coordination/membership/ReportRoutes.java
+++ b/src/main/java/notchpick/coordination/membership/ReportRoutes.java
@@ -61,7 +61,7 @@
         private final long term;
         private long at;
         private long sequence;
-        /** When it was last told to report to the leader; 0: not since it got through by this controller. */
+        /** When it was last told to report to the leader; 0: never. */
         private long sentHomeAt;
         /** When its report was last passed on and answered; 0: never. */
         private long passedAt;
@@ -168,7 +168,7 @@
             return;
         }
         if (isGuest(visit)) {
-            if (now >= visit.notHomeBefore && (serves(leader, report.zone(), 2 * reportMs) || isTrial(report.zone()))) {
+            if (now >= visit.notHomeBefore && (serves(leader, report.zone(), 2 * reportMs) || isDue(triedAt, report.zone()))) {
                 sendHome(came, visit, leader);
                 return;
             }
@@ -217,13 +217,12 @@
         return age >= 0 && age <= withinMs;
     }
 
-    /** One worker of a zone at a time goes and sees; it loses a report's time if it does not get through. */
-    private boolean isTrial(String zone) {
-        long now = loop.now();
-        if (now - triedAt.getOrDefault(zone, 0L) < leaseMs / 2) {
+    /** One worker at a time goes and sees, since it loses a report's time if it does not get through. */
+    private boolean isDue(Map<String, Long> lastAt, String what) {
+        if (isRecent(lastAt.getOrDefault(what, 0L), leaseMs / 2)) {
             return false;
         }
-        triedAt.put(zone, now);
+        lastAt.put(what, loop.now());
         return true;
     }
 
@@ -246,8 +245,7 @@
             all.add(peer);
             Collections.sort(all);
             if (!able.contains(peer) && peer.equals(keeper(report, all)) && reaches(peer, leader)
-                    && !isRecent(helpAskedAt.getOrDefault(peer, 0L), leaseMs / 2)) {
-                helpAskedAt.put(peer, loop.now());
+                    && isDue(helpAskedAt, peer)) {
                 return peer;
             }
         }
