A peer's workers are heard if those of any zone are

Found on reading: the age of a peer's worker links was that of its first zone's row, its own that of the freshest; a peer that hears only the second zone passed for one that hears nobody, and might have been let go first in no election.

--- a/src/main/java/notchpick/coordination/membership/Peers.java
+++ b/src/main/java/notchpick/coordination/membership/Peers.java
@@ -118,18 +118,24 @@
         return entry == null || loop.now() - entry.at() > 2 * PULSES_FOR_LINKS * periodMs ? null : entry.table();
     }
 
-    /** How long ago a peer's link last gave a sign, by what it has lately told; -1: it is down, or not known here. */
+    /**
+     * How long ago a peer's link last gave a sign, by what it has lately told; -1: it is down, or not known here.
+     *
+     * @param name null: the one of this kind that gave the last sign
+     */
     public long linkAgeMs(String node, LinkKind kind, String name) {
         LinkTable table = linksOf(node);
+        long least = -1;
         if (table != null) {
             for (LinkRow row : table.getLinks()) {
                 if (row.getKind() == kind && (name == null || row.getName().equals(name))
                         && row.getCondition() == LinkCondition.UP) {
-                    return row.getAgeMs() + loop.now() - told.get(node).at();
+                    long age = row.getAgeMs() + loop.now() - told.get(node).at();
+                    least = least < 0 ? age : Math.min(least, age);
                 }
             }
         }
-        return -1;
+        return least;
     }
 
     /** Whether calls to a peer are answered, and it can pass calls on. */
