--- /dev/null
+++ b/src/test/java/notchpick/MeetingWalkTest.java
@@ -0,0 +1,251 @@
+package notchpick;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntSupplier;
+import java.util.stream.IntStream;
+import notchpick.coordination.Deployment.Limit;
+import notchpick.protocol.InvalidMessage;
+import notchpick.scheduling.Amounts;
+import notchpick.scheduling.MachineType;
+import notchpick.standin.Network.Cut;
+import notchpick.standin.WorkerStandIn;
+import notchpick.standin.World;
+import notchpick.standin.World.Timing;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Seeded random walks over pairs and triples of troubles, the second of which begins close to an election, a confirmed
+ * cancellation, a task's end or a machine's boot, while users cancel and look at all controllers. Seeds go through all
+ * pairs in turn; {@code -Dmeetings=FIRST-LAST} plays others. A seed that fails tells what happened in order.
+ */
+class MeetingWalkTest {
+    private static final List<String> JOBS = List.of("run-000001", "run-000002", "run-000003", "run-000004");
+    /** A moment that does not come within so long is not waited for. */
+    private static final long PATIENCE_MS = 7000;
+
+    /** What can go wrong by itself. */
+    enum Trouble {
+        LEADER_CRASHES, ANOTHER_CRASHES, ALL_CRASH, LEADER_FREEZES, LEADER_REFUSED, OUTAGE, WRITES_LATE, WRITES_UNHEARD,
+        REPORTS_LATE, REPORTS_FOR_NEXT, MACHINES_DEAF, MACHINES_MUTE, MACHINES_HANG, LEADER_LOSES_STATE_AND_PEERS,
+        ZONE_CUT, LEADER_LOSES_WORKERS, ANSWERS_HELD, WATCHES_HANG, LISTS_SLOW, MACHINES_DIE
+    }
+
+    private static final Trouble[] ALL = Trouble.values();
+    private static final int PAIRS = ALL.length * (ALL.length + 1) / 2;
+
+    static IntStream seeds() {
+        String[] range = System.getProperty("meetings", "1-" + PAIRS).split("-");
+        return IntStream.rangeClosed(Integer.parseInt(range[0]), Integer.parseInt(range[1]));
+    }
+
+    /** The pair that a seed is about; those of one trouble with itself among them. */
+    private static List<Trouble> pair(int seed) {
+        int rest = Math.floorMod(seed - 1, PAIRS);
+        int first = 0;
+        while (rest >= ALL.length - first) {
+            rest -= ALL.length - first;
+            first++;
+        }
+        return List.of(ALL[first], ALL[first + rest]);
+    }
+
+    private final List<String> happened = new ArrayList<>();
+    private World world;
+    private Random random;
+
+    private void begin(int seed) throws InvalidMessage {
+        random = new Random(seed);
+        world = new World(5, List.of(new Limit("a", Amounts.NONE, new Amounts(40, 0, 0)),
+                new Limit("b", Amounts.NONE, Amounts.NONE)),
+                List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 2, List.of("east", "west"))),
+                500, 150, null, false, new Timing(5, 22, 42));
+        world.capacity("m8", "east", true, 7);
+        world.capacity("m8", "west", true, 7);
+        world.simulation().runUntil(3000);
+        submit(JOBS.get(0), Map.of("tasks", "25", "team", "a"), 150);
+        submit(JOBS.get(1), Map.of("tasks", "90", "team", "a"), 9);
+        submit(JOBS.get(2), Map.of("tasks", "20", "team", "b", "one-zone", "yes"), 40);
+        submit(JOBS.get(3), Map.of("tasks", "20", "team", "b", "saves", "10"), 120);
+        world.simulation().runUntil(20_000);
+        world.closeLooks(true);
+        world.cancelAtEnd(0.2);
+        for (int i = 0; i < 25; i++) {
+            int number = i;
+            world.simulation().after(2000L * i, () -> trySubmit(String.format("run-01%04d", number)));
+        }
+    }
+
+    private void trySubmit(String job) {
+        try {
+            submit(job, Map.of("tasks", "3", "team", "b"), 5);
+        } catch (InvalidMessage e) {
+            throw new IllegalArgumentException(job, e);
+        }
+    }
+
+    private void submit(String job, Map<String, String> options, double runS) throws InvalidMessage {
+        world.submit(ScenarioTest.submission(job, options), runS, 0.8, false);
+    }
+
+    private long between(long least, long most) {
+        return least + random.nextInt((int) (most - least + 1));
+    }
+
+    private void note(String what) {
+        happened.add("at " + world.simulation().now() / 1000.0 + " " + what);
+    }
+
+    private String leader() {
+        return world.leader() == null ? world.nodes().get(random.nextInt(5)) : world.leader();
+    }
+
+    private void later(long delayMs, String what, Runnable work) {
+        world.simulation().after(delayMs, () -> {
+            note(what);
+            work.run();
+        });
+    }
+
+    private void start(Trouble trouble) {
+        String leader = leader();
+        long forMs = between(2000, 45_000);
+        String until = " for " + forMs / 1000.0;
+        note(trouble + " " + leader + until);
+        switch (trouble) {
+            case LEADER_CRASHES -> world.crash(leader, between(200, 8000));
+            case ANOTHER_CRASHES -> world.crash(world.nodes().get(random.nextInt(5)), between(200, 8000));
+            case ALL_CRASH -> world.nodes().forEach(node -> world.crash(node, forMs));
+            case LEADER_FREEZES -> world.freeze(leader, Math.min(forMs, 25_000));
+            case LEADER_REFUSED -> {
+                world.refuse(leader, true);
+                later(forMs, leader + " is served again", () -> world.refuse(leader, false));
+            }
+            case OUTAGE -> {
+                world.state().outage(true);
+                later(forMs, "the outage is over", () -> world.state().outage(false));
+            }
+            case WRITES_LATE, WRITES_UNHEARD -> {
+                world.state().lateWrites(0.4, trouble == Trouble.WRITES_UNHEARD);
+                later(forMs, "writes are answered", () -> world.state().lateWrites(0, false));
+            }
+            case REPORTS_LATE, REPORTS_FOR_NEXT -> {
+                world.lateReports(0.5, trouble == Trouble.REPORTS_FOR_NEXT);
+                later(forMs, "no more copies", () -> world.lateReports(0, false));
+            }
+            case MACHINES_DEAF -> machines(forMs, WorkerStandIn::deaf);
+            case MACHINES_MUTE -> machines(forMs, WorkerStandIn::mute);
+            case MACHINES_HANG -> world.workers().stream().limit(between(1, 6))
+                    .forEach(worker -> world.hang(worker, Math.min(forMs, 30_000)));
+            case LEADER_LOSES_STATE_AND_PEERS -> {
+                cut(leader, "state", forMs);
+                world.nodes().stream().filter(node -> !node.equals(leader)).forEach(node -> cut(leader, node, forMs));
+            }
+            case ZONE_CUT -> cut("zone-east", "outside-east", forMs);
+            case LEADER_LOSES_WORKERS -> cut(leader, "workers", forMs);
+            case ANSWERS_HELD -> {
+                world.network().cutOneWay(leader, "workers", Cut.HOLD);
+                later(Math.min(forMs, 6000), "answers pass", () -> world.network().heal(leader, "workers"));
+            }
+            case WATCHES_HANG -> {
+                world.state().watchesHang(true);
+                later(forMs, "watches are answered", () -> world.state().watchesHang(false));
+            }
+            case LISTS_SLOW -> {
+                world.state().lists(between(500, 4000));
+                later(forMs, "lists are quick", () -> world.state().lists(0));
+            }
+            case MACHINES_DIE -> List.copyOf(world.machines()).stream().limit(between(1, 8))
+                    .forEach(world.cloud()::take);
+        }
+    }
+
+    private void cut(String one, String other, long forMs) {
+        world.network().cut(one, other, Cut.HOLD);
+        world.simulation().after(forMs, () -> world.network().heal(one, other));
+    }
+
+    private interface Fault {
+        void set(WorkerStandIn worker, boolean on);
+    }
+
+    private void machines(long forMs, Fault fault) {
+        List<WorkerStandIn> some = world.workers().stream().limit(between(1, 8)).toList();
+        some.forEach(worker -> fault.set(worker, true));
+        later(forMs, "machines are well", () -> some.forEach(worker -> fault.set(worker, false)));
+    }
+
+    /** Goes on until shortly after something has come about once more, or has not for a while. */
+    private void await(String what, IntSupplier count) {
+        int before = count.getAsInt();
+        long until = world.simulation().now() + PATIENCE_MS;
+        while (count.getAsInt() == before && world.simulation().now() < until) {
+            world.simulation().runUntil(world.simulation().now() + 10);
+        }
+        note(count.getAsInt() == before ? "no " + what + " came" : "after " + what);
+        world.simulation().runUntil(world.simulation().now() + between(0, 400));
+    }
+
+    private void awaitSomething() {
+        switch (random.nextInt(6)) {
+            case 0 -> await("an election", world::term);
+            case 1 -> await("a cancellation", () -> world.met("cancellations"));
+            case 2 -> await("an end", () -> world.met("ends"));
+            case 3 -> await("a boot", () -> world.cloud().ups());
+            case 4 -> world.simulation().runUntil(world.simulation().now() + between(0, 5000));
+            default -> { }
+        }
+    }
+
+    private void cancelSome() {
+        int count = (int) between(0, 2);
+        List<String> jobs = world.cancelNow(count);
+        note("users cancel " + jobs);
+        if (random.nextInt(4) == 0) {
+            world.hangMachinesOf(jobs, between(3000, 30_000));
+        }
+    }
+
+    @ParameterizedTest(name = "seed {0}")
+    @MethodSource("seeds")
+    void noRuleIsBrokenWhereTroublesMeet(int seed) throws InvalidMessage {
+        begin(seed);
+        List<Trouble> troubles = new ArrayList<>(pair(seed));
+        if (random.nextBoolean()) {
+            troubles.add(ALL[random.nextInt(ALL.length)]);
+        }
+        if (random.nextBoolean()) {
+            java.util.Collections.reverse(troubles);
+        }
+        world.simulation().runUntil(world.simulation().now() + between(0, 8000));
+        for (Trouble trouble : troubles) {
+            boolean cancelFirst = random.nextBoolean();
+            if (cancelFirst) {
+                cancelSome();
+                awaitSomething();
+            }
+            start(trouble);
+            if (!cancelFirst) {
+                world.simulation().runUntil(world.simulation().now() + between(0, 1500));
+                cancelSome();
+            }
+            awaitSomething();
+        }
+        world.simulation().runUntil(world.simulation().now() + 50_000);
+        note("troubles are over");
+        world.cancelAtEnd(0);
+        world.troublesOver();
+        world.simulation().runUntil(world.simulation().now() + 230_000);
+        String story = "seed " + seed + ": " + String.join("\n", happened) + "\n";
+        assertEquals(List.of(), world.rules().breaches(), story);
+        for (String job : JOBS) {
+            assertTrue(List.of("done", "cancelled").contains(world.told(job)), story + job + " is " + world.told(job));
+        }
+    }
+}
--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -13,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.stream.Stream;
 import notchpick.coordination.Deployment.Limit;
 import notchpick.protocol.InvalidMessage;
@@ -24,6 +25,7 @@
 import notchpick.standin.WorkerStandIn;
 import notchpick.standin.World;
 import notchpick.standin.World.Limits;
+import notchpick.standin.World.Timing;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -32,6 +34,11 @@
  * first come lines without a time that describe the deployment. See the README.
  */
 class ScenarioTest {
+    /** What a submission must not lack. */
+    private static final List<String> REQUIRED = List.of("workclass", "ownerDesk", "jobForm", "urgency", "pieces",
+            "cores", "gpus", "ramGb", "bundle", "sizeGb", "oneZone", "apart", "borrowed", "expectedS", "bookmarkS",
+            "bookmarkWriteS");
+
     static Stream<Path> scenarios() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenarios"))) {
             // -Dscenario=WORD plays only those with this word in their names.
@@ -48,6 +55,7 @@
         double requestsPerS = 300;
         double writesPerS = 100;
         Limits next = null;
+        Timing timing = Timing.DEFAULT;
         boolean nextIsNews = false;
         List<Limit> teams = new ArrayList<>();
         List<MachineType> types = new ArrayList<>();
@@ -64,6 +72,8 @@
                             Double.parseDouble(words[3]));
                     nextIsNews = words.length > 4;
                 }
+                case "workers" -> timing = new Timing(Double.parseDouble(words[2]), Double.parseDouble(words[4]),
+                        Double.parseDouble(words[6]));
                 case "controllers" -> controllers = Integer.parseInt(words[1]);
                 case "team" -> teams.add(new Limit(words[1],
                         new Amounts(Double.parseDouble(words[2]), 0, 0),
@@ -80,7 +90,7 @@
         types = types.isEmpty()
                 ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
                 : types;
-        World world = new World(controllers, teams, types, requestsPerS, writesPerS, next, nextIsNews);
+        World world = new World(controllers, teams, types, requestsPerS, writesPerS, next, nextIsNews, timing);
         if (pools.isEmpty()) {
             world.capacity("m8", "east", true, 4);
             world.capacity("m8", "west", true, 4);
@@ -147,7 +157,10 @@
             case "name" -> world.name(first, node(world, words[4]));
             case "watch-pauses" -> world.rules().watchPauses();
             case "outage" -> world.state().outage(first.equals("on"));
-            case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
+            case "refuse" -> world.refuse(node(world, first), words[4].equals("on"));
+            case "refuse-none" -> world.nodes().forEach(node -> world.refuse(node, false));
+            case "watches-hang" -> world.state().watchesHang(first.equals("on"));
+            case "lists-take" -> world.state().lists(millis(first));
             case "pages" -> world.state().pages(Integer.parseInt(first));
             case "limits-fall" -> world.limitsFall();
             case "lose-commits" -> world.state().loseCommits(Integer.parseInt(first),
@@ -159,6 +172,31 @@
             case "never-up" -> world.cloud().neverUp(Integer.parseInt(first));
             case "die" -> world.cloud().take(machine(world, first));
             case "hang" -> world.worker(machine(world, first)).hang(true);
+            case "hang-for" -> world.hang(world.worker(machine(world, first)), millis(words[4]));
+            case "hang-some" -> List.copyOf(world.workers()).stream().limit(Integer.parseInt(first))
+                    .forEach(worker -> world.hang(worker, millis(words[4])));
+            case "deaf" -> some(world, first).forEach(worker -> worker.deaf(true));
+            case "mute" -> some(world, first).forEach(worker -> worker.mute(true));
+            case "all-hear" -> world.workers().forEach(worker -> {
+                worker.deaf(false);
+                worker.mute(false);
+            });
+            case "late-writes" -> world.state().lateWrites(Double.parseDouble(first),
+                    words.length > 4 && words[4].equals("at-once"));
+            case "late-reports" -> world.lateReports(Double.parseDouble(first),
+                    words.length > 4 && words[4].equals("for-next"));
+            case "cancel-now" -> {
+                List<String> jobs = world.cancelNow(Integer.parseInt(first));
+                if (words.length > 4) {
+                    world.hangMachinesOf(jobs, millis(words[5]));
+                }
+            }
+            case "cancel-at-end" -> world.cancelAtEnd(Double.parseDouble(first));
+            case "look" -> world.look(first);
+            case "close-looks" -> world.closeLooks(first.equals("on"));
+            case "odd-requests" -> oddRequests(world, first);
+            case "stream" -> stream(world, first, options(words, 4));
+            case "troubles-over" -> world.troublesOver();
             case "unhang" -> world.workers().forEach(worker -> worker.hang(false));
             case "sick" -> world.worker(machine(world, first)).sick();
             case "wave" -> wave(world, first);
@@ -168,6 +206,59 @@
         }
     }
 
+    private static long millis(String seconds) {
+        return (long) (Double.parseDouble(seconds) * 1000);
+    }
+
+    /** All machines, those of a zone, or the first so many. */
+    private static List<WorkerStandIn> some(World world, String which) {
+        List<WorkerStandIn> all = world.workers();
+        if (Character.isDigit(which.charAt(0))) {
+            return all.stream().limit(Integer.parseInt(which)).toList();
+        }
+        return all.stream().filter(worker -> which.equals("all") || worker.zone().equals(which)).toList();
+    }
+
+    /** So many jobs a second for a while, a share of which their users call off a second or two later. */
+    private static void stream(World world, String prefix, Map<String, String> options) throws InvalidMessage {
+        double perS = Double.parseDouble(options.get("per-second"));
+        int jobs = (int) (perS * Double.parseDouble(options.get("for")));
+        double share = Double.parseDouble(options.getOrDefault("cancel", "0"));
+        Random random = new Random(jobs);
+        for (int i = 0; i < jobs; i++) {
+            String id = prefix + (1000 + i);
+            long at = (long) (1000 * i / perS);
+            world.simulation().after(at, () -> {
+                try {
+                    submit(world, id, options);
+                } catch (InvalidMessage e) {
+                    throw new IllegalArgumentException(id, e);
+                }
+            });
+            if (random.nextDouble() < share) {
+                world.simulation().after(at + 200 + random.nextInt(4000), () -> world.cancel(id));
+            }
+        }
+    }
+
+    /** Users submit a job again, and send everything that can't run or lacks a field, at all controllers. */
+    private static void oddRequests(World world, String job) {
+        world.resubmit(job);
+        int number = 0;
+        for (String field : REQUIRED) {
+            String id = String.format("run-99%04d", number++);
+            ObjectNode body = submission(id, Map.of());
+            body.remove(field);
+            world.sendUnfit(id, Json.bytes(body));
+        }
+        for (Map<String, String> unfit : List.of(Map.of("cores", "1000"), Map.of("team", "nobody"),
+                Map.of("types", "m-none"), Map.of("zone", "nowhere"), Map.of("gpus", "1"), Map.of("tasks", "0"),
+                Map.of("tasks", "100001"), Map.of("cores", "-1"), Map.of("urgency", "soon"), Map.of("form", "gang"))) {
+            String id = String.format("run-99%04d", number++);
+            world.sendUnfit(id, Json.bytes(submission(id, unfit)));
+        }
+    }
+
     private static void wave(World world, String zone) {
         List.copyOf(world.machines()).stream().filter(name -> zone.equals("all") || world.zone(name).equals(zone))
                 .forEach(world.cloud()::take);
@@ -236,6 +327,14 @@
     private static void expect(World world, String[] words) {
         String where = String.join(" ", words);
         switch (words[3]) {
+            case "met" -> assertTrue(world.met(words[4]) >= Integer.parseInt(words[6]), () ->
+                    where + ": " + world.met(words[4]));
+            case "starts-after-cancel" -> assertTrue(world.rules().startsAfterCancel() <= Integer.parseInt(words[5]),
+                    () -> where + ": " + world.rules().startsAfterCancel());
+            case "gone-after-cancel" -> assertTrue(
+                    world.rules().longestAfterCancelMs() <= 1000 * Double.parseDouble(words[5]),
+                    () -> where + ": " + world.rules().longestAfterCancelMs() / 1000.0);
+            case "served" -> assertEquals(List.of(), world.rules().underserved(), where);
             case "leader" -> {
                 if (words[4].equals("none")) {
                     assertEquals(null, world.leader(), where);
--- a/src/test/java/notchpick/standin/CloudStandIn.java
+++ b/src/test/java/notchpick/standin/CloudStandIn.java
@@ -46,6 +46,7 @@
     private final Map<String, Rented> machines = new java.util.TreeMap<>();
     private final Map<String, byte[]> answers = new HashMap<>();
     private int count;
+    private int ups;
     private boolean down;
     private long releaseLateMs;
     private long rentLateMs;
@@ -98,6 +99,11 @@
         bootFactor = factor;
     }
 
+    /** How many machines ever came up. */
+    public int ups() {
+        return ups;
+    }
+
     /** How many machines were ever rented. */
     public int rented() {
         return count;
@@ -169,6 +175,7 @@
             timer.after((long) (type.bootS() * bootFactor * 1000) + 37L * i, () -> {
                 if (machines.containsKey(rented.name)) {
                     rented.up = true;
+                    ups++;
                     up.accept(rented);
                 }
             });
--- a/src/test/java/notchpick/standin/RuleBook.java
+++ b/src/test/java/notchpick/standin/RuleBook.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -14,9 +16,21 @@
 
 /** Checks the protocol's rules from what really happens on machines and what users are told. */
 public final class RuleBook {
+    /** After troubles are over, a job of which no question is answered for so long counts as forgotten. */
+    static final long SILENT_MS = 75_000;
+    /** After troubles are over, a job that could start must not wait any longer. */
+    static final long WAITING_MS = 90_000;
+    /** The largest jobs of a class have to begin within this time. */
+    static final long LARGEST_BEGIN_MS = 240_000;
+    /** One in so many jobs of a class, but one at least, counts among its largest. */
+    private static final int LARGEST_PART = 10;
+
     /** What a start looks like to the rules. */
     private record Running(String machine, String zone) {}
 
+    /** An answer that users have got, and when it came. */
+    private record Told(String state, long at) {}
+
     private final LongSupplier clock;
     private final long cancelMs;
     private final Map<String, Double> coreLimits;
@@ -24,13 +38,24 @@
     private final Map<String, Running> running = new HashMap<>();
     private final Set<String> complete = new HashSet<>();
     private final Map<String, Long> toldCancelled = new HashMap<>();
-    private final Map<String, String> told = new HashMap<>();
+    private final Map<String, List<Told>> told = new HashMap<>();
+    private final Map<String, Long> submittedAt = new LinkedHashMap<>();
+    private final Map<String, Long> begunAt = new HashMap<>();
+    /** When a question about the job was last answered. */
+    private final Map<String, Long> heardAt = new HashMap<>();
+    /** Since when a job waits though it could start. */
+    private final Map<String, Long> waitingSince = new HashMap<>();
+    /** Submissions that must not be accepted. */
+    private final Set<String> unfit = new HashSet<>();
     private final Set<String> cancelAsked = new HashSet<>();
     private final List<String> breaches = new ArrayList<>();
     private int starts;
     private int killedByLease;
     private long lastStartAt;
     private long longestPauseMs;
+    private long startsAfterCancel;
+    private long longestAfterCancelMs;
+    private long troublesOverAt = Long.MAX_VALUE / 2;
 
     /** @param coreLimits by team; absent: none */
     public RuleBook(LongSupplier clock, long cancelMs, Map<String, Double> coreLimits) {
@@ -83,6 +108,90 @@
 
     public void submitted(JobSpec job) {
         jobs.put(job.id(), job);
+        submittedAt.put(job.id(), clock.getAsLong());
+    }
+
+    /** A user sends a submission of this id that can never run or lacks a field. */
+    public void unfit(String job) {
+        unfit.add(job);
+    }
+
+    /** From now on nothing fails any more: what still waits or is not answered has been left behind. */
+    public void troublesOver() {
+        troublesOverAt = clock.getAsLong();
+        waitingSince.clear();
+    }
+
+    /** Starts of jobs whose cancellation had been confirmed, in flight or not. */
+    public long startsAfterCancel() {
+        return startsAfterCancel;
+    }
+
+    /** The longest time from a confirmation until a task of the job was gone. */
+    public long longestAfterCancelMs() {
+        return longestAfterCancelMs;
+    }
+
+    /**
+     * The worker has been given the command to start a task.
+     *
+     * @param lateMs how long after a confirmed cancellation a start may still be on its way
+     */
+    public void ordered(String machine, String task, long lateMs) {
+        Long at = toldCancelled.get(jobOf(task));
+        if (at != null && clock.getAsLong() - at > lateMs) {
+            breach("started_cancelled", task + " was ordered on " + machine + " "
+                    + (clock.getAsLong() - at) / 1000.0 + " s after its job was called cancelled");
+        }
+    }
+
+    /** A job has tasks that wait, and may run on a machine with room, its team being under its limit; or not. */
+    public void waits(String job, boolean couldStart) {
+        long now = clock.getAsLong();
+        if (!couldStart || now < troublesOverAt) {
+            waitingSince.remove(job);
+        } else if (now - waitingSince.computeIfAbsent(job, j -> now) > WAITING_MS) {
+            breach("left_waiting", job + " since " + waitingSince.get(job) / 1000.0);
+            waitingSince.put(job, now);
+        }
+    }
+
+    /** Classes, teams and largest jobs of a class of which less than half was served, or which began too late. */
+    public List<String> underserved() {
+        Map<String, List<JobSpec>> groups = new LinkedHashMap<>();
+        Map<String, List<JobSpec>> classes = new LinkedHashMap<>();
+        for (String id : submittedAt.keySet()) {
+            JobSpec job = jobs.get(id);
+            if (!cancelAsked.contains(id) && !unfit.contains(id)) {
+                groups.computeIfAbsent("team " + job.team(), g -> new ArrayList<>()).add(job);
+                groups.computeIfAbsent("class " + job.jobClass(), g -> new ArrayList<>()).add(job);
+                classes.computeIfAbsent(job.jobClass(), g -> new ArrayList<>()).add(job);
+            }
+        }
+        List<String> poor = new ArrayList<>();
+        classes.forEach((name, members) -> {
+            List<JobSpec> largest = members.stream()
+                    .sorted(Comparator.comparingDouble((JobSpec job) -> -job.tasks() * job.demand().cores()))
+                    .limit((members.size() + LARGEST_PART - 1) / LARGEST_PART).toList();
+            groups.put("largest of " + name, largest);
+            long late = largest.stream().filter(job -> begunAt.getOrDefault(job.id(), Long.MAX_VALUE)
+                    - submittedAt.get(job.id()) > LARGEST_BEGIN_MS).count();
+            if (late * 2 > largest.size()) {
+                poor.add("largest of " + name + " begin late");
+            }
+        });
+        groups.forEach((name, members) -> {
+            long served = members.stream().filter(job -> "done".equals(lastTold(job.id()))).count();
+            if (served * 2 < members.size()) {
+                poor.add(name + ": " + served + " of " + members.size() + " served");
+            }
+        });
+        return poor;
+    }
+
+    private String lastTold(String job) {
+        List<Told> all = told.getOrDefault(job, List.of());
+        return all.isEmpty() ? null : all.get(all.size() - 1).state();
     }
 
     private static String jobOf(String task) {
@@ -106,6 +215,9 @@
             breach("ran_twice", task + " on " + other.machine() + " and " + machine);
         }
         overdue(task, breaches);
+        startsAfterCancel += toldCancelled.containsKey(jobOf(task)) ? 1 : 0;
+        begunAt.putIfAbsent(jobOf(task), clock.getAsLong());
+        waitingSince.remove(jobOf(task));
         running.put(task, new Running(machine, zone));
         if (job == null) {
             return;
@@ -142,6 +254,10 @@
         Running where = running.get(task);
         if (where != null && where.machine().equals(machine)) {
             overdue(task, breaches);
+            Long at = toldCancelled.get(jobOf(task));
+            if (at != null) {
+                longestAfterCancelMs = Math.max(longestAfterCancelMs, clock.getAsLong() - at);
+            }
             running.remove(task);
         }
     }
@@ -176,20 +292,34 @@
         }
     }
 
-    /** A user asked about a job, or submitted it again, and got this. */
+    /** A user asked about a job, or submitted it again, at this moment, and got this. */
     public void answered(String job, int status, String state) {
+        answered(job, status, state, clock.getAsLong());
+    }
+
+    /**
+     * A user asked about a job, or submitted it again, and got this now.
+     *
+     * @param askedAt when the question was sent: it must not be answered with less than any user knew by then
+     */
+    public void answered(String job, int status, String state, long askedAt) {
         JobSpec spec = jobs.get(job);
-        String before = told.get(job);
+        if (status / 100 == 2 && unfit.contains(job)) {
+            breach("accepted_unfit", job);
+        }
         if (status == 200 && spec == null) {
             breach("invented", job);
         }
+        String before = toldBy(job, askedAt);
         if (before != null && (status == 404 || status == 400 || status == 422)) {
             breach("forgotten", job + " was answered " + status);
         }
         if (status != 200 && status != 201 || spec == null) {
+            unanswered(job);
             return;
         }
-        if (("done".equals(before) || "cancelled".equals(before)) && !before.equals(state)) {
+        heardAt.put(job, clock.getAsLong());
+        if (isFinal(before) && !before.equals(state)) {
             breach("went_back", job + " from " + before + " to " + state);
         }
         if ("cancelled".equals(state)) {
@@ -204,6 +334,30 @@
         if ("done".equals(state) && completed(spec) < spec.tasks()) {
             breach("not_done", job);
         }
-        told.put(job, state);
+        told.computeIfAbsent(job, j -> new ArrayList<>()).add(new Told(state, clock.getAsLong()));
+    }
+
+    private void unanswered(String job) {
+        List<Told> all = told.get(job);
+        long silentSince = Math.max(troublesOverAt, heardAt.getOrDefault(job, 0L));
+        if (all != null && clock.getAsLong() - silentSince > SILENT_MS) {
+            breach("forgotten", "no question about " + job + " is answered since " + silentSince / 1000.0);
+            heardAt.put(job, clock.getAsLong());
+        }
+    }
+
+    private static boolean isFinal(String state) {
+        return "done".equals(state) || "cancelled".equals(state);
+    }
+
+    /** The furthest that any node had told by then; null: nothing. */
+    private String toldBy(String job, long at) {
+        String furthest = null;
+        for (Told one : told.getOrDefault(job, List.of())) {
+            if (one.at() <= at && !isFinal(furthest)) {
+                furthest = one.state();
+            }
+        }
+        return furthest;
     }
 }
--- a/src/test/java/notchpick/standin/RuleBookTest.java
+++ b/src/test/java/notchpick/standin/RuleBookTest.java
@@ -153,4 +153,170 @@
         rules.answered("run-2", 200, "queued");
         broken("went_back");
     }
+
+    private void lawful() {
+        assertEquals(List.of(), rules.breaches());
+    }
+
+    private void accepted(String id) {
+        submit(id, 1, false, false, true);
+        rules.answered(id, 201, "queued");
+    }
+
+    @Test
+    void startedAfterACancellation() {
+        accepted("run-1");
+        rules.cancelAsked("run-1");
+        rules.answered("run-1", 200, "cancelled");
+        now = 4000;
+        rules.ordered("m-1", "run-1/0", 4000);
+        lawful();
+        now = 4001;
+        rules.ordered("m-1", "run-1/0", 4000);
+        broken("started_cancelled");
+    }
+
+    @Test
+    void startsAfterACancellationAreCounted() {
+        accepted("run-1");
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        assertEquals(0, rules.startsAfterCancel());
+        rules.left("m-1", "run-1/0");
+        rules.cancelAsked("run-1");
+        rules.answered("run-1", 200, "cancelled");
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        assertEquals(1, rules.startsAfterCancel());
+        now = 3000;
+        rules.left("m-1", "run-1/0");
+        assertEquals(3000, rules.longestAfterCancelMs());
+    }
+
+    @Test
+    void goesOnAfterItsMachineHung() {
+        accepted("run-1");
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.cancelAsked("run-1");
+        rules.answered("run-1", 200, "cancelled");
+        now = 40_000;
+        rules.left("m-1", "run-1/0");
+        lawful();
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        now = 40_001;
+        rules.left("m-1", "run-1/0");
+        broken("ran_cancelled");
+    }
+
+    @Test
+    void olderThanAnotherNodesAnswer() {
+        accepted("run-1");
+        rules.completed("run-1/0");
+        now = 10;
+        rules.answered("run-1", 200, "done", 6);
+        // Asked before anybody had been told: the answers have crossed.
+        now = 12;
+        rules.answered("run-1", 200, "running", 9);
+        lawful();
+        rules.answered("run-1", 200, "running", 10);
+        broken("went_back");
+    }
+
+    @Test
+    void notFoundThoughAnotherNodeAccepted() {
+        submit("run-1", 1, false, false, true);
+        now = 10;
+        rules.answered("run-1", 201, "queued", 5);
+        rules.answered("run-1", 404, null, 9);
+        lawful();
+        rules.answered("run-1", 404, null, 10);
+        broken("forgotten");
+    }
+
+    @Test
+    void silentAfterTheTroubles() {
+        accepted("run-1");
+        rules.answered("run-1", 503, null);
+        now = 200_000;
+        rules.answered("run-1", 503, null);
+        rules.troublesOver();
+        now = 275_000;
+        rules.answered("run-1", 503, null);
+        lawful();
+        now = 275_001;
+        rules.answered("run-1", 503, null);
+        broken("forgotten");
+    }
+
+    @Test
+    void leftWaiting() {
+        accepted("run-1");
+        rules.waits("run-1", true);
+        now = 100_000;
+        rules.troublesOver();
+        rules.waits("run-1", true);
+        now = 150_000;
+        // For a moment it could not have started.
+        rules.waits("run-1", false);
+        rules.waits("run-1", true);
+        now = 240_000;
+        rules.waits("run-1", true);
+        lawful();
+        now = 240_001;
+        rules.waits("run-1", true);
+        broken("left_waiting");
+    }
+
+    @Test
+    void underHalfServed() {
+        for (int i = 1; i <= 4; i++) {
+            accepted("run-" + i);
+            rules.started("m-1", "run-" + i + "/0", "m8", "east", true);
+            rules.left("m-1", "run-" + i + "/0");
+            if (i <= 2) {
+                rules.completed("run-" + i + "/0");
+                rules.answered("run-" + i, 200, "done");
+            }
+        }
+        assertEquals(List.of(), rules.underserved());
+        accepted("run-5");
+        assertEquals(List.of("team a: 2 of 5 served", "class c: 2 of 5 served"), rules.underserved());
+        rules.cancelAsked("run-5");
+        assertEquals(List.of(), rules.underserved());
+    }
+
+    @Test
+    void largestServedAndBegunInTime() {
+        submit("run-1", 2, false, false, true);
+        accepted("run-2");
+        rules.completed("run-2/0");
+        rules.answered("run-2", 200, "done");
+        now = RuleBook.LARGEST_BEGIN_MS;
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        assertEquals(List.of("largest of c: 0 of 1 served"), rules.underserved());
+        rules.completed("run-1/0");
+        rules.completed("run-1/1");
+        rules.answered("run-1", 200, "done");
+        assertEquals(List.of(), rules.underserved());
+    }
+
+    @Test
+    void largestBeginsLate() {
+        submit("run-1", 2, false, false, true);
+        now = RuleBook.LARGEST_BEGIN_MS + 1;
+        rules.started("m-1", "run-1/0", "m8", "east", true);
+        rules.completed("run-1/0");
+        rules.completed("run-1/1");
+        rules.answered("run-1", 200, "done");
+        assertEquals(List.of("largest of c begin late"), rules.underserved());
+    }
+
+    @Test
+    void acceptedThoughUnfit() {
+        rules.unfit("run-1");
+        rules.answered("run-1", 422, null);
+        rules.answered("run-1", 400, null);
+        rules.answered("run-1", 503, null);
+        lawful();
+        rules.answered("run-1", 201, "queued");
+        broken("accepted_unfit");
+    }
 }
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -28,7 +29,11 @@
 
     private record Logged(String key, JsonNode value, long version) {}
 
-    private record Watch(String prefix, long since, long until, Consumer<Answer> reply) {}
+    private record Watch(String host, String prefix, long since, long from, long until, Consumer<Answer> reply) {
+        boolean waits() {
+            return until > from;
+        }
+    }
 
     /** Runs something later; a plain timer when served over real sockets. */
     public interface Timer {
@@ -61,6 +66,14 @@
     private boolean outage;
     private int loseAnswers;
     private long applyLateMs;
+    private double lateShare;
+    private boolean lateAtOnce;
+    private boolean watchesHang;
+    private long listMs;
+    /** Transactions that were carried out though nobody got an answer to them: late, or at once. */
+    private int appliedUnanswered;
+    /** Draws which transactions get no answer, and how late they are carried out. */
+    private final Random chance = new Random(7);
 
     /**
      * @param requestsPerS requests that it takes in a second; bursts of one second's worth
@@ -122,6 +135,7 @@
             leaseLives.forEach((lease, life) -> setEnd(lease, clock.getAsLong() + life));
         }
         outage = on;
+        wake();
     }
 
     /** From now on less is taken; what is stored stays readable. */
@@ -153,6 +167,7 @@
             refused.add(host);
         } else {
             refused.remove(host);
+            wake();
         }
     }
 
@@ -162,6 +177,35 @@
         applyLateMs = lateMs;
     }
 
+    /**
+     * From now on this share of the transactions gets no answer, and is carried out two to twelve seconds later,
+     * after newer ones, or at once.
+     */
+    public void lateWrites(double share, boolean atOnce) {
+        lateShare = share;
+        lateAtOnce = atOnce;
+    }
+
+    /** Watches that wait for changes get no answer, as in an outage, while all else does. */
+    public void watchesHang(boolean on) {
+        watchesHang = on;
+        wake();
+    }
+
+    /** Lists take so long. */
+    public void lists(long takeMs) {
+        listMs = takeMs;
+    }
+
+    /** How many transactions have been carried out of which the sender never heard. */
+    public int appliedUnanswered() {
+        return appliedUnanswered;
+    }
+
+    private void applyUnanswered(Call call) {
+        appliedUnanswered += commit(Json.object(call.body())).status() == 200 ? 1 : 0;
+    }
+
     public JsonNode value(String key) {
         Item item = items.get(key);
         return item == null ? null : item.value();
@@ -184,7 +228,16 @@
         }
         if (path.equals("/commit") && loseAnswers > 0) {
             loseAnswers--;
-            timer.after(applyLateMs, () -> commit(Json.object(call.body())));
+            timer.after(applyLateMs, () -> applyUnanswered(call));
+            return;
+        }
+        if (path.equals("/commit") && chance.nextDouble() < lateShare) {
+            timer.after(lateAtOnce ? 0 : 2000 + chance.nextInt(10_000), () -> applyUnanswered(call));
+            return;
+        }
+        if (path.equals("/keys") && listMs > 0) {
+            Answer answer = answer(call, path);
+            timer.after(listMs, () -> reply.accept(answer));
             return;
         }
         reply.accept(answer(call, path));
@@ -342,7 +395,8 @@
     private void changes(Call call, Consumer<Answer> reply) {
         Map<String, String> query = query(call);
         long until = clock.getAsLong() + Long.parseLong(query.getOrDefault("holdMs", "0"));
-        Watch watch = new Watch(query.getOrDefault("prefix", ""), Long.parseLong(query.get("since")), until, reply);
+        Watch watch = new Watch(call.target(), query.getOrDefault("prefix", ""), Long.parseLong(query.get("since")),
+                clock.getAsLong(), until, reply);
         watches.add(watch);
         timer.after(until - clock.getAsLong() + 1, this::wake);
         wake();
@@ -353,6 +407,10 @@
             return;
         }
         for (Watch watch : List.copyOf(watches)) {
+            if (refused.contains(watch.host()) || watchesHang && watch.waits()) {
+                // Whoever is refused alone has its open watches wait as in an outage.
+                continue;
+            }
             ObjectNode body = Json.object().put("ledgerNo", revision);
             ArrayNode list = body.putArray("log");
             for (Logged logged : log) {
--- a/src/test/java/notchpick/standin/WorkerStandIn.java
+++ b/src/test/java/notchpick/standin/WorkerStandIn.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,12 @@
         boolean saves(String job);
 
         boolean failsEverywhere(String job);
+
+        /** A worker sends this report. */
+        default void reported(byte[] report) {}
+
+        /** A task has completed, just now. */
+        default void completed(String task) {}
     }
 
     private static final class Piece {
@@ -69,6 +76,12 @@
     private boolean inFlight;
     private boolean dead;
     private boolean hanging;
+    /** What would have happened on the machine while it hung. */
+    private final List<Runnable> onWake = new ArrayList<>();
+    /** Its reports arrive; what is sent to it is lost. */
+    private boolean deaf;
+    /** Its reports are lost. */
+    private boolean mute;
     private boolean sick;
     private Double noticeS;
     private long leaseFrom;
@@ -106,10 +119,51 @@
     public void hang(boolean on) {
         hanging = on;
         if (!on) {
+            List<Runnable> due = List.copyOf(onWake);
+            onWake.clear();
+            due.forEach(Runnable::run);
             reportAt(simulation.now());
         }
     }
 
+    public boolean hangs() {
+        return hanging;
+    }
+
+    public void deaf(boolean on) {
+        deaf = on;
+    }
+
+    public void mute(boolean on) {
+        mute = on;
+    }
+
+    /** Whether a task could start there: it is heard, and hears, and is to stay. */
+    public boolean takesPart() {
+        return !dead && !hanging && !deaf && !mute && !sick && noticeS == null;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public MachineType type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    /** Tasks that are fetching, running or saving. */
+    public List<String> tasks() {
+        return pieces.values().stream().filter(Piece::live).map(piece -> piece.task).toList();
+    }
+
     public void sick() {
         sick = true;
     }
@@ -182,8 +236,22 @@
                     .put("exitCause", piece.exit);
         }
         byte[] before = Json.bytes(list);
+        jobs.reported(Json.bytes(body));
+        if (mute) {
+            simulation.after(4000, () -> answered(Answer.NONE, sentAt, sentSession, before));
+            return;
+        }
         caller.call(new Call(controllers.get(nodes.get(node)), "POST", "/hello", Json.bytes(body)), 4000,
-                answer -> answered(answer, sentAt, sentSession, before));
+                answer -> heard(answer, sentAt, sentSession, before));
+    }
+
+    private void heard(Answer answer, long sentAt, long sentSession, byte[] before) {
+        if (deaf) {
+            simulation.after(sentAt + 4000 - simulation.now(),
+                    () -> answered(Answer.NONE, sentAt, sentSession, before));
+        } else {
+            answered(answer, sentAt, sentSession, before);
+        }
     }
 
     private void answered(Answer answer, long sentAt, long sentSession, byte[] before) {
@@ -239,6 +307,7 @@
         switch (order.path("orderKind").asText()) {
             case "run" -> {
                 if (piece == null) {
+                    rules.ordered(name, task, reportMs + 4000);
                     start(key, new Piece(task, attempt));
                 }
             }
@@ -285,22 +354,34 @@
         if (!here(key, piece)) {
             return;
         }
+        if (hanging) {
+            onWake.add(() -> run(key, piece, job));
+            return;
+        }
         piece.state = "running";
         piece.startedAt = simulation.now();
         rules.started(name, piece.task, type.name(), zone, spot);
         change();
         long rest = rules.isComplete(piece.task) ? 0 : jobs.runMs(piece.task) - saved.getOrDefault(piece.task, 0L);
-        simulation.after(Math.max(10, sick ? 200 : rest), () -> {
-            if (here(key, piece) && piece.state.equals("running")) {
-                rules.left(name, piece.task);
-                if (sick || jobs.failsEverywhere(job)) {
-                    exit(piece, "error");
-                } else {
-                    rules.completed(piece.task);
-                    exit(piece, "done");
-                }
-            }
-        });
+        simulation.after(Math.max(10, sick ? 200 : rest), () -> end(key, piece, job));
+    }
+
+    private void end(String key, Piece piece, String job) {
+        if (!here(key, piece) || !piece.state.equals("running")) {
+            return;
+        }
+        if (hanging) {
+            onWake.add(() -> end(key, piece, job));
+            return;
+        }
+        rules.left(name, piece.task);
+        if (sick || jobs.failsEverywhere(job)) {
+            exit(piece, "error");
+        } else {
+            rules.completed(piece.task);
+            exit(piece, "done");
+            jobs.completed(piece.task);
+        }
     }
 
     private void stop(Piece piece, double graceS) {
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -2,11 +2,15 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
 import notchpick.app.Controller;
 import notchpick.bookkeeping.Records;
 import notchpick.coordination.Deployment;
@@ -28,9 +32,14 @@
 
 /** A whole deployment in simulated time: real controllers among stand-ins. */
 public final class World implements WorkerStandIn.Jobs {
-    public static final double REPORT_S = 3;
-    public static final double LEASE_S = 20;
-    public static final double CANCEL_S = 40;
+    /** Report period, workers' lease and the time that a cancellation has, in seconds. */
+    public record Timing(double reportS, double leaseS, double cancelS) {
+        public static final Timing DEFAULT = new Timing(3, 20, 40);
+    }
+
+    /** How long a copy of a report may be under way, as a part of the workers' lease. */
+    private static final double COPY_LEASES = 1.4;
+    private static final long LOOK_MS = 2;
     private static final List<String> ZONES = List.of("east", "west");
     private static final String STATE = "10.2.0.1:2379";
     private static final String CLOUD = "10.2.0.2:8443";
@@ -54,6 +63,19 @@
     private final Map<String, String> status = new LinkedHashMap<>();
     private final Map<String, Integer> lastStatus = new HashMap<>();
     private final Map<Integer, Integer> stormAnswers = new HashMap<>();
+    /** How often what a scenario was made for has come about. */
+    private final Map<String, Integer> met = new LinkedHashMap<>();
+    private final Random chance = new Random(11);
+    private final Timing timing;
+    private final Set<String> refused = new HashSet<>();
+    private final List<byte[]> keptForNext = new ArrayList<>();
+    private double copyShare;
+    private boolean copyForNext;
+    private double cancelAtEndShare;
+    private boolean closeLooks;
+    private int keptInTerm;
+    /** The last term whose leader crashed. */
+    private int endedTerm;
     private final List<Limit> teams;
     private final double requestsPerS;
     private final Limits limits;
@@ -63,6 +85,7 @@
     private final StateStandIn state;
     private final CloudStandIn cloud;
     private final List<String> nodes = new ArrayList<>();
+    private final Set<String> cancelAsked = new HashSet<>();
     private final Map<String, String> names = new HashMap<>();
     private int turn;
     private int turnedAway;
@@ -74,6 +97,12 @@
      */
     public World(int count, List<Limit> teams, List<MachineType> machineTypes, double requestsPerS, double writesPerS,
             Limits next, boolean nextIsNews) {
+        this(count, teams, machineTypes, requestsPerS, writesPerS, next, nextIsNews, Timing.DEFAULT);
+    }
+
+    public World(int count, List<Limit> teams, List<MachineType> machineTypes, double requestsPerS, double writesPerS,
+            Limits next, boolean nextIsNews, Timing timing) {
+        this.timing = timing;
         this.teams = teams;
         this.requestsPerS = requestsPerS;
         this.limits = new Limits(StateStandIn.MAX_VALUE_BYTES, 12, writesPerS);
@@ -81,7 +110,7 @@
         this.nextIsNews = nextIsNews;
         Map<String, Double> limits = new HashMap<>();
         teams.stream().filter(t -> t.most().cores() > 0).forEach(t -> limits.put(t.team(), t.most().cores()));
-        rules = new RuleBook(simulation::now, (long) (CANCEL_S * 1000), limits);
+        rules = new RuleBook(simulation::now, (long) (timing.cancelS() * 1000), limits);
         state = new StateStandIn(simulation::now, simulation::after, 12, requestsPerS, writesPerS);
         Map<String, MachineType> types = new LinkedHashMap<>();
         machineTypes.forEach(type -> types.put(type.name(), type));
@@ -194,7 +223,8 @@
             }
         }
         Deployment deployment = new Deployment(node, addresses.get(node), peerAddress(index), peers, CLOUD, STATE,
-                ZONES, teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))), REPORT_S, LEASE_S, CANCEL_S, requestsPerS, known.writesPerS(),
+                ZONES, teams, new Objectives(Map.of("slow", List.of(new Objective(Kind.FINISHED, 300)))),
+                timing.reportS(), timing.leaseS(), timing.cancelS(), requestsPerS, known.writesPerS(),
                 known.valueBytes(), known.txnOps(), 10, 3, 1000);
         // Clocks at the edges of their bounds.
         double fast = index == 0 ? 0.05 : index == 1 ? -0.05 : 0;
@@ -209,6 +239,9 @@
     }
 
     public void crash(String node, long restartMs) {
+        if (node.equals(leader())) {
+            endedTerm = term();
+        }
         int index = nodes.indexOf(node);
         lives.merge(node, 1, Integer::sum);
         network.vanish(addresses.get(node));
@@ -238,8 +271,8 @@
         network.join(rented.name, "workers-" + rented.zone);
         place(rented.name, rented.zone);
         workers.put(rented.name, new WorkerStandIn(simulation, network.from(rented.name, () -> true), rules, this,
-                rented.name, rented.type, rented.zone, rented.spot, addresses, (long) (REPORT_S * 1000),
-                (long) (LEASE_S * 1000), saved));
+                rented.name, rented.type, rented.zone, rented.spot, addresses, (long) (timing.reportS() * 1000),
+                (long) (timing.leaseS() * 1000), saved));
     }
 
     private void gone(String name) {
@@ -274,11 +307,25 @@
         call("POST", "/submissions", body, answer -> lastStatus.put(job, answer.status()));
     }
 
+    /** Sends a submission that must not be accepted to every controller. */
+    public void sendUnfit(String job, byte[] body) {
+        rules.unfit(job);
+        for (String node : nodes) {
+            call(node, "POST", "/submissions", body, answer -> {
+                lastStatus.put(job, answer.status());
+                rules.answered(job, answer.status(), null);
+                meet(answer.status() == 400 || answer.status() == 422 ? "refused-submissions" : "untold-submissions");
+            });
+        }
+    }
+
     private void submit(String job, ObjectNode body, long until) {
+        long askedAt = simulation.now();
         call("POST", "/submissions", Json.bytes(body), answer -> {
             lastStatus.put(job, answer.status());
-            note(job, answer);
+            note(job, answer, askedAt);
             if (answer.status() / 100 == 2) {
+                lookClosely(job);
                 simulation.after(5000, () -> poll(job));
             } else if (answer.status() != 400 && answer.status() != 422 && simulation.now() < until) {
                 turnedAway++;
@@ -291,10 +338,13 @@
     /** Users ask so many times within a second; who gets no answer now asks no more. */
     public void storm(String job, int polls) {
         for (int i = 0; i < polls; i++) {
-            simulation.after(1000L * i / polls, () -> call("GET", "/submissions/" + job, null, answer -> {
-                note(job, answer);
-                stormAnswers.merge(answer.status(), 1, Integer::sum);
-            }));
+            simulation.after(1000L * i / polls, () -> {
+                long askedAt = simulation.now();
+                call("GET", "/submissions/" + job, null, answer -> {
+                    note(job, answer, askedAt);
+                    stormAnswers.merge(answer.status(), 1, Integer::sum);
+                });
+            });
         }
     }
 
@@ -304,16 +354,209 @@
     }
 
     public void resubmit(String job) {
+        long askedAt = simulation.now();
         call("POST", "/submissions", Json.bytes(truths.get(job).body()), answer -> {
             lastStatus.put(job, answer.status());
-            note(job, answer);
+            note(job, answer, askedAt);
+        });
+    }
+
+    /** Asks about the job at all controllers at once, a few times within milliseconds, and submits it once more. */
+    public void look(String job) {
+        resubmit(job);
+        for (int i = 0; i < 3; i++) {
+            simulation.after(LOOK_MS * i, () -> {
+                long askedAt = simulation.now();
+                for (String node : nodes) {
+                    call(node, "GET", "/submissions/" + job, null, answer -> note(job, answer, askedAt));
+                }
+            });
+        }
+        meet("looks");
+    }
+
+    private void lookClosely(String job) {
+        if (closeLooks) {
+            look(job);
+        }
+    }
+
+    /** From now on users look at all controllers whenever one has told them something new. */
+    public void closeLooks(boolean on) {
+        closeLooks = on;
+    }
+
+    /** Users call off so many of the jobs that run, those with most left first, within a fifth of a second. */
+    public List<String> cancelNow(int count) {
+        Map<String, Integer> running = new LinkedHashMap<>();
+        workers.values().forEach(worker -> worker.tasks().forEach(
+                task -> running.merge(task.substring(0, task.indexOf('/')), 1, Integer::sum)));
+        List<String> chosen = running.keySet().stream().filter(job -> !cancelAsked.contains(job))
+                .sorted(Comparator.comparingLong((String job) -> -truths.get(job).runMs())).limit(count).toList();
+        chosen.forEach(job -> simulation.after(chance.nextInt(200), () -> cancel(job)));
+        return chosen;
+    }
+
+    /** Up to eight machines on which tasks of these jobs are stand still for a while. */
+    public void hangMachinesOf(List<String> jobs, long forMs) {
+        workers.values().stream().filter(worker -> worker.tasks().stream()
+                .anyMatch(task -> jobs.contains(task.substring(0, task.indexOf('/'))))).limit(8)
+                .forEach(worker -> hang(worker, forMs));
+    }
+
+    public void hang(WorkerStandIn worker, long forMs) {
+        worker.hang(true);
+        simulation.after(forMs, () -> worker.hang(false));
+        meet("hangs");
+    }
+
+    /** From now on this share of the jobs is called off at the moment at which their last task ends. */
+    public void cancelAtEnd(double share) {
+        cancelAtEndShare = share;
+    }
+
+    @Override
+    public void completed(String task) {
+        String job = task.substring(0, task.indexOf('/'));
+        Truth truth = truths.get(job);
+        meet("ends");
+        if (cancelAtEndShare > 0 && rules.completed(truth.spec()) == truth.spec().tasks()
+                && chance.nextDouble() < cancelAtEndShare) {
+            meet("cancelled-at-end");
+            cancel(job);
+        }
+    }
+
+    // ---- reports that come twice ---------------------------------------------------------------
+
+    /**
+     * From now on a copy of this share of the reports arrives again: from two seconds to well over a lease later, or
+     * as soon as the next leader has begun.
+     */
+    public void lateReports(double share, boolean forNext) {
+        copyShare = share;
+        copyForNext = forNext;
+        keptInTerm = term();
+        if (forNext && share > 0) {
+            awaitNextTerm();
+        }
+    }
+
+    private void awaitNextTerm() {
+        simulation.after(20, () -> {
+            if (leader() != null && term() > keptInTerm) {
+                keptInTerm = term();
+                List<byte[]> copies = List.copyOf(keptForNext);
+                keptForNext.clear();
+                copies.forEach(copy -> nodes.forEach(node -> {
+                    meet("copies-for-next");
+                    call(node, "POST", "/hello", copy, answer -> { });
+                }));
+            }
+            if (copyForNext && copyShare > 0) {
+                awaitNextTerm();
+            }
         });
     }
 
+    @Override
+    public void reported(byte[] report) {
+        if (chance.nextDouble() >= copyShare) {
+            return;
+        }
+        if (copyForNext) {
+            keptForNext.add(report);
+        } else {
+            int sentInTerm = term();
+            long lateMs = 2000 + chance.nextInt((int) (COPY_LEASES * 1000 * timing.leaseS()));
+            simulation.after(lateMs, () -> {
+                meet(term() > sentInTerm ? "copies-in-later-term" : "copies");
+                nodes.forEach(node -> call(node, "POST", "/hello", report, answer -> { }));
+            });
+        }
+    }
+
+    // ---- what a scenario is to bring about -------------------------------------------------------
+
+    public void meet(String what) {
+        met.merge(what, 1, Integer::sum);
+    }
+
+    /** How often something has come about that a scenario was made for. */
+    public int met(String what) {
+        return what.equals("unanswered-writes") ? state.appliedUnanswered() : met.getOrDefault(what, 0);
+    }
+
+    /** The state service answers 503 to this controller alone. */
+    public void refuse(String node, boolean on) {
+        state.refuse(node, on);
+        if (on) {
+            refused.add(node);
+        } else {
+            refused.remove(node);
+        }
+    }
+
+    /** Under what circumstances a cancellation was confirmed. */
+    private void noteCancellation() {
+        meet("cancellations");
+        if (leader() == null || term() == endedTerm) {
+            meet("cancelled-while-nobody-led");
+        } else if (refused.contains(leader())) {
+            meet("cancelled-while-the-leader-was-refused");
+        }
+    }
+
+    /** Nothing fails from now on; whatever waits though it could start is told to the rule book. */
+    public void troublesOver() {
+        rules.troublesOver();
+        watchWaiting();
+    }
+
+    private void watchWaiting() {
+        truths.values().stream().filter(truth -> status.containsKey(truth.spec().id()))
+                .forEach(truth -> rules.waits(truth.spec().id(), couldStart(truth)));
+        simulation.after(1000, this::watchWaiting);
+    }
+
+    private boolean couldStart(Truth truth) {
+        JobSpec spec = truth.spec();
+        Map<String, Integer> fellows = new HashMap<>();
+        Amounts use = Amounts.NONE;
+        for (WorkerStandIn worker : workers.values()) {
+            for (String task : worker.tasks()) {
+                JobSpec other = truths.get(task.substring(0, task.indexOf('/'))).spec();
+                use = other.team().equals(spec.team()) ? use.plus(other.demand()) : use;
+                if (other == spec) {
+                    fellows.merge(worker.zone(), 1, Integer::sum);
+                }
+            }
+        }
+        int placed = fellows.values().stream().mapToInt(Integer::intValue).sum();
+        boolean waits = !truth.fails() && !cancelAsked.contains(spec.id())
+                && rules.completed(spec) + placed < spec.tasks()
+                && spec.needs().stream().allMatch(need -> "done".equals(told(need)));
+        Amounts wanted = use.plus(spec.demand());
+        return waits && teams.stream().anyMatch(team -> team.team().equals(spec.team()) && team.allows(wanted))
+                && workers.values().stream().anyMatch(worker -> worker.takesPart()
+                        && spec.allows(worker.type().name(), worker.zone(), worker.spot())
+                        && spec.allowsAmongFellows(worker.zone(), fellows)
+                        && spec.demand().fitsIn(room(worker)));
+    }
+
+    private Amounts room(WorkerStandIn worker) {
+        Amounts room = worker.type().size();
+        for (String task : worker.tasks()) {
+            room = room.minus(demand(task.substring(0, task.indexOf('/'))));
+        }
+        return room;
+    }
+
     public void poll(String job) {
+        long askedAt = simulation.now();
         call("GET", "/submissions/" + job, null, answer -> {
             lastStatus.put(job, answer.status());
-            note(job, answer);
+            note(job, answer, askedAt);
             String told = told(job);
             if (truths.containsKey(job) && !told.equals("done") && !told.equals("cancelled")) {
                 simulation.after(5000, () -> poll(job));
@@ -323,25 +566,43 @@
 
     public void cancel(String job) {
         rules.cancelAsked(job);
+        cancelAsked.add(job);
+        long askedAt = simulation.now();
         call("POST", "/submissions/" + job + "/abort", new byte[0], answer -> {
-            note(job, answer);
+            String before = told(job);
+            note(job, answer, askedAt);
             if (answer.status() != 200) {
                 simulation.after(1000, () -> cancel(job));
+                return;
+            }
+            if (told(job).equals("cancelled") && !before.equals("cancelled")) {
+                noteCancellation();
             }
+            lookClosely(job);
         });
     }
 
-    private void call(String method, String path, byte[] body, java.util.function.Consumer<Answer> then) {
-        String node = anyNode();
+    private void call(String method, String path, byte[] body, Consumer<Answer> then) {
+        call(anyNode(), method, path, body, then);
+    }
+
+    private void call(String node, String method, String path, byte[] body, Consumer<Answer> then) {
         network.from("user", () -> true).call(new Call(addresses.get(node), method, path, body), 5000, then);
     }
 
-    private void note(String job, Answer answer) {
+    private void note(String job, Answer answer, long askedAt) {
         ObjectNode body = answer.body().length == 0 ? null : Json.object(answer.body());
         String state = body == null ? null : body.path("status").asText(null);
-        rules.answered(job, answer.status(), state);
+        rules.answered(job, answer.status(), state, askedAt);
         if (answer.status() / 100 == 2) {
-            status.put(job, state);
+            String before = status.get(job);
+            // Answers cross on their way: what is over stays over for whoever looks at the last word.
+            if (!"done".equals(before) && !"cancelled".equals(before)) {
+                status.put(job, state);
+            }
+            if ("done".equals(state) && !"done".equals(before)) {
+                lookClosely(job);
+            }
         }
     }
 
