One place bounds every answer that prolongs a worker's lease, by what is known

Cause, found on reading and then brought about: a leader's answers were bounded by its claim and a grace, as if what it knew of cancellations were as fresh.

Entitlement decides now for every answer to a report, relayed ones too: kept only while loaded, within claim and grace, and while the last complete read of cancellations, counted from its sending, is younger than cancel_s less worker lease, drift and a report. A known cancellation that can't be ordered is kept for no longer than that since it can have been confirmed. Starts are ordered only on what is known within a report period. The watch is asked anew as often as the claim is renewed, so that its age costs next to no grace. A report counts for a new leader only with its own token, or from a worker that has seen none; an answer to another one gives the token and stops what is over.

--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -106,6 +106,11 @@
     @Override
     protected void receive(Message message) {
         if (message instanceof Begin) {
+            long surelyMs = deployment.surelyCancelledMs(leaderLeaseMs / 1000.0);
+            if (surelyMs > deployment.cancelS() * 1000) {
+                log.warn("cancel_s is {} s, but a cancelled task on a machine that can't be reached may stay for {} s, "
+                        + "as lease_s is {} s", deployment.cancelS(), surelyMs / 1000.0, deployment.workerLeaseS());
+            }
             elector.tell(new Elector.Begin());
             peers.tell(new Peers.Begin());
             reportRoutes.tell(new ReportRoutes.Begin());
--- a/src/main/java/notchpick/bookkeeping/Binding.java
+++ b/src/main/java/notchpick/bookkeeping/Binding.java
@@ -33,6 +33,8 @@
     public long runningSince;
     /** Null, or the time to save that goes with the order to stop. */
     public Double stopGraceS;
+    /** If its job is over: that was not called off before. */
+    public long overSince;
 
     public Binding(JobSpec spec, int task, Machine machine, long attempt, Phase phase) {
         this.spec = spec;
--- a/src/main/java/notchpick/coordination/Deployment.java
+++ b/src/main/java/notchpick/coordination/Deployment.java
@@ -90,6 +90,22 @@
         return (long) Math.ceil(leaseMs * (1 + DRIFT)) + 100;
     }
 
+    /**
+     * How old what a leader knows of users' cancellations may be when it prolongs a worker's lease. A cancellation that
+     * it does not know was confirmed after its last complete read was sent; the worker's lease, which runs from when
+     * its report was sent, must be over within the time that a cancellation has, with a report period to spare.
+     * Where the settings leave no room for that, it is as much as a leader needs to go on at all.
+     */
+    public long knowledgeMs(double leaderLeaseS) {
+        return Math.max((long) (1000 * leaderLeaseS),
+                (long) (1000 * (cancelS - reportS)) - surelyOverMs(1000 * workerLeaseS));
+    }
+
+    /** In what time from its confirmation every task of a cancelled job is surely gone, whatever fails. */
+    public long surelyCancelledMs(double leaderLeaseS) {
+        return knowledgeMs(leaderLeaseS) + surelyOverMs(1000 * workerLeaseS);
+    }
+
     /**
      * How long a leader whose claim has lapsed may go on answering reports, without any order, so
      * that work survives an outage of the state service. A job's cancellation may have been taken elsewhere right
--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -51,6 +51,8 @@
     private static final int ROUND_SHARE = 10;
     /** A tick that comes later than so many of its periods shows that the process stood still. */
     private static final int LATE_TICKS = 2;
+    /** Cancellations are known anew as often as the claim is renewed, lest their age be what shortens the grace. */
+    private static final int WATCHES_PER_LEASE = 5;
 
     private final Deployment deployment;
     private final Tuning tuning;
@@ -62,6 +64,7 @@
     private final Consumer<String> giveWay;
     private final long term;
     private final long graceMs;
+    private final Entitlement entitlement;
     private final Roster roster = new Roster(this::released);
     private final Estimates estimates = new Estimates();
     private final Ledger ledger;
@@ -72,14 +75,10 @@
     private final Starts starts;
     private final Reports reports;
     private final TakeOver takeOver;
-    private long claimUntil;
-    /** When the claim last stood again after it had lapsed. */
-    private long regainedAt = Long.MIN_VALUE / 2;
     private long tickedAt;
     /** When this controller last stood still, the end of that. */
     private long awakeSince;
     private boolean begun;
-    private boolean loaded;
     private long lastReportAt;
     /** Since when reports have come by others only; 0: some worker gets its answers from here. */
     private long passedSince;
@@ -102,7 +101,7 @@
         this.detourMs = detourMs;
         this.giveWay = giveWay;
         this.term = term;
-        this.claimUntil = claimUntil;
+        this.entitlement = new Entitlement(loop::now, deployment, leaderLeaseMs / 1000.0, claimUntil);
         this.lastReportAt = loop.now();
         this.bypassedSince = loop.now();
         this.awakeSince = loop.now();
@@ -114,12 +113,17 @@
         this.leases = new RoomLeases(loop, deployment, tuning, roster, peers, term, this::placed, this::roundSoon,
                 this::after);
         this.granting = new Granting(loop, deployment, tuning, roster, estimates, leases, fleet::fetchGbPerS);
-        this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, this::stageS, this::after, this::roundSoon,
-                this::answerHeld);
+        this.jobs = new OpenJobs(loop, deployment, state, roster, ledger, entitlement, leaderLeaseMs / WATCHES_PER_LEASE,
+                this::stageS, this::after, this::roundSoon, this::answerHeld);
         this.starts = new Starts(loop, deployment, roster, ledger, fleet, this::answer);
-        this.reports = new Reports(loop, deployment, roster, estimates, fleet, jobs, starts, term, this::holdsClaim,
+        this.reports = new Reports(loop, deployment, roster, estimates, fleet, jobs, starts, term, entitlement,
                 () -> rounds, this::roundSoon, this::after);
-        this.takeOver = new TakeOver(state, ledger, this::after, jobs, starts, fleet, granting, this::begin);
+        this.takeOver = new TakeOver(loop, state, ledger, this::after, jobs, starts, fleet, granting, this::begin);
+        after((long) (deployment.cancelS() * 250), () -> {
+            if (!entitlement.isLoaded()) {
+                giveWay.accept("what a former leader left can't be read");
+            }
+        });
     }
 
     /** A job's run time, the wait for a report that an order can ride on, and its image. */
@@ -142,10 +146,7 @@
     @Override
     protected void receive(Message message) {
         if (message instanceof ClaimRenewed renewed) {
-            if (!holdsClaim()) {
-                regainedAt = loop.now();
-            }
-            claimUntil = renewed.until();
+            entitlement.claimRenewed(renewed.until());
         } else if (message instanceof TypesKnown known) {
             fleet.typesKnown(known.types());
             if (!begun) {
@@ -154,19 +155,16 @@
             }
         } else if (message instanceof Reported reported) {
             noteWay(reported.report(), reported.passed());
-            report(reported.report(), reported.reply());
+            lastReportAt = loop.now();
+            reports.receive(reported.report(), reported.reply());
         } else if (message instanceof Depose) {
             reports.refuseAll();
             stop();
         }
     }
 
-    private boolean holdsClaim() {
-        return loop.now() < claimUntil;
-    }
-
     private void begin(long revision) {
-        loaded = true;
+        entitlement.loaded();
         log.info("term {}: took over {} jobs and {} machines", term, roster.jobs.size(), roster.machines.size());
         jobs.watch(revision);
         long period = (long) (deployment.reportS() * 1000);
@@ -185,19 +183,6 @@
                 () -> { }, () -> { }));
     }
 
-    private void report(Report report, Consumer<Answer> reply) {
-        long now = loop.now();
-        lastReportAt = now;
-        if (now > claimUntil + graceMs || report.token() > term) {
-            reply.accept(Reports.refusal());
-        } else if (!loaded) {
-            // It keeps the worker's lease; what it reports is looked at next time.
-            reply.accept(Reports.orders(term, List.of()));
-        } else {
-            reports.receive(report, reply);
-        }
-    }
-
     /** Who reports here twice running got the first answer; others may report here in vain. */
     private void noteWay(Report report, boolean passed) {
         Machine machine = roster.machines.get(report.machine());
@@ -227,12 +212,12 @@
     // ---- from time to time -------------------------------------------------------------------
 
     private void roundSoon() {
-        if (!roundDue && loaded) {
+        if (!roundDue && entitlement.isLoaded()) {
             roundDue = true;
             after(Math.max((long) (deployment.reportS() * 1000 * ROUND_RATIO), ROUND_SHARE * roundTookMs), () -> {
                 roundDue = false;
                 rounds++;
-                if (holdsClaim()) {
+                if (entitlement.holdsClaim()) {
                     long begunAt = loop.now();
                     granting.round();
                     roundTookMs = Math.min(loop.now() - begunAt, longestRoundMs());
@@ -278,7 +263,7 @@
             }
             reports.judge(machine, now);
         }
-        if (now - Math.max(jobs.watchedAt(), awakeSince) > deployment.cancelS() * 250 && !isExcused(now)) {
+        if (now - Math.max(entitlement.knownAt(), awakeSince) > deployment.cancelS() * 250 && !isExcused()) {
             giveWay.accept("cancellations can't be read");
         }
         // One worker that has just come up, and asks its way to the leader, is no sign of a cut.
@@ -293,7 +278,7 @@
         } else if (detourMs.getAsLong() > leaningMs) {
             giveWay.accept("it reaches the state service only through others");
         }
-        if (holdsClaim()) {
+        if (entitlement.holdsClaim()) {
             starts.tidy();
             jobs.tidy();
             reviewFleet();
@@ -315,12 +300,13 @@
      * In an outage nobody can read cancellations, nor be elected: to give way would only end the grace in which
      * reports are answered. When it is over, they come within a report's time, or another one shall read them.
      */
-    private boolean isExcused(long now) {
-        return holdsClaim() ? now - regainedAt < deployment.reportS() * 1000 : now < claimUntil + graceMs;
+    private boolean isExcused() {
+        long heldMs = entitlement.heldMs();
+        return heldMs < 0 ? entitlement.isInGrace() : heldMs < deployment.reportS() * 1000;
     }
 
     private void reviewFleet() {
-        if (holdsClaim()) {
+        if (entitlement.holdsClaim()) {
             noteStandstill(loop.now());
             fleet.review(awakeSince);
         }
@@ -381,7 +367,7 @@
     /** Counts of the open jobs, for display. */
     public List<Progress> progress() {
         List<Progress> progress = new ArrayList<>();
-        if (loaded) {
+        if (entitlement.isLoaded()) {
             for (Job job : roster.jobs.values()) {
                 if (job.running > 0 || !job.done.isEmpty()) {
                     progress.add(progress(job));
@@ -393,7 +379,7 @@
 
     /** The counts of one job, or null. */
     public Progress progress(String id) {
-        Job job = loaded ? roster.jobs.get(id) : null;
+        Job job = entitlement.isLoaded() ? roster.jobs.get(id) : null;
         return job == null ? null : progress(job);
     }
 
--- a/src/main/java/notchpick/coordination/leading/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/leading/OpenJobs.java
@@ -46,6 +46,8 @@
     private final StateApi state;
     private final Roster roster;
     private final Ledger ledger;
+    private final Entitlement entitlement;
+    private final long watchMs;
     private final Pipelines pipelines;
     private final BiConsumer<Long, Runnable> timer;
     private final Runnable changed;
@@ -53,11 +55,14 @@
     private final SharedValues<DoneMarks> marks;
     /** A job's runs of done marks, by the first task of each. */
     private final Map<Job, Map<Integer, DoneMarks>> runs = new HashMap<>();
-    private long watchedAt;
 
-    /** @param changed hears when jobs have come or gone; saved, when tasks' ends have become durable */
+    /**
+     * @param entitlement hears how complete what is known of users' cancellations is
+     * @param watchMs how long one look at users' changes waits for them
+     * @param changed hears when jobs have come or gone; saved, when tasks' ends have become durable
+     */
     OpenJobs(EventLoop loop, Deployment deployment, StateApi state, Roster roster, Ledger ledger,
-            ToDoubleFunction<JobSpec> stageS, BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
+            Entitlement entitlement, long watchMs, ToDoubleFunction<JobSpec> stageS, BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
         this.loop = loop;
         this.deployment = deployment;
         this.state = state;
@@ -66,7 +71,8 @@
         this.timer = timer;
         this.changed = changed;
         this.saved = saved;
-        this.watchedAt = loop.now();
+        this.entitlement = entitlement;
+        this.watchMs = watchMs;
         this.pipelines = new Pipelines(loop, deployment, roster, ledger, new Fates(state), stageS, timer, changed,
                 this::cancelled);
         this.marks = new SharedValues<>(ledger, Records.DONE_TASKS,
@@ -78,14 +84,11 @@
         return value -> timer.accept(0L, () -> then.accept(value));
     }
 
-    /** When users' changes were last known to be complete. */
-    long watchedAt() {
-        return watchedAt;
-    }
-
     // ---- as read at the start of a term --------------------------------------------------------
 
-    void load(Listing open) {
+    /** @param sentAt when the listing was asked for */
+    void load(Listing open, long sentAt) {
+        entitlement.known(sentAt);
         roster.jobs.clear();
         open.entries().forEach(entry -> opened(entry.key(), entry.value(), entry.version()));
     }
@@ -116,10 +119,9 @@
 
     void watch(long since) {
         pipelines.settle();
-        long waitMs = (long) (deployment.reportS() * 1000);
-        state.changes(Records.OPEN, since, waitMs, inTurn(result -> {
+        long sentAt = loop.now();
+        state.changes(Records.OPEN, since, watchMs, inTurn(result -> {
             if (result instanceof Ok<Changes> ok) {
-                watchedAt = loop.now();
                 for (Change change : ok.value().log()) {
                     if (change.value() != null) {
                         opened(change.key(), change.value(), change.version());
@@ -127,6 +129,7 @@
                         closed(change.key().substring(Records.OPEN.length()));
                     }
                 }
+                entitlement.known(sentAt);
                 if (!ok.value().log().isEmpty()) {
                     changed.run();
                 }
@@ -141,6 +144,7 @@
 
     /** The watch is too far behind: read all open jobs again. */
     private void relist() {
+        long sentAt = loop.now();
         state.listAll(Records.OPEN, inTurn(result -> {
             if (!(result instanceof Ok<Listing> ok)) {
                 timer.accept(RETRY_MS, this::relist);
@@ -152,6 +156,7 @@
                 opened(entry.key(), entry.value(), entry.version());
             }
             List.copyOf(roster.jobs.keySet()).stream().filter(id -> !open.contains(id)).forEach(this::closed);
+            entitlement.known(sentAt);
             watch(ok.value().revision());
         }));
     }
@@ -179,6 +184,8 @@
                 roster.unbind(binding);
             } else {
                 binding.stopGraceS = 0.0;
+                // It was confirmed after the last complete read was sent, or would have been known by that.
+                binding.overSince = entitlement.knownAt();
             }
         }
         Map<Integer, DoneMarks> over = runs.remove(job);
--- a/src/main/java/notchpick/coordination/leading/Reports.java
+++ b/src/main/java/notchpick/coordination/leading/Reports.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import notchpick.bookkeeping.Binding;
@@ -51,7 +50,7 @@
     private final OpenJobs jobs;
     private final Starts starts;
     private final long term;
-    private final BooleanSupplier mayOrder;
+    private final Entitlement entitlement;
     private final LongSupplier rounds;
     private final Runnable news;
     private final BiConsumer<Long, Runnable> timer;
@@ -62,12 +61,12 @@
     private record Held(Consumer<Answer> reply, List<TaskReport> tasks, long rounds) {}
 
     /**
-     * @param mayOrder whether the claim to lead still stands
+     * @param entitlement what may be told to workers now
      * @param rounds how many rounds of granting have begun
      * @param news hears when a report may have made room
      */
     Reports(EventLoop loop, Deployment deployment, Roster roster, Estimates estimates, Fleet fleet, OpenJobs jobs,
-            Starts starts, long term, BooleanSupplier mayOrder, LongSupplier rounds, Runnable news,
+            Starts starts, long term, Entitlement entitlement, LongSupplier rounds, Runnable news,
             BiConsumer<Long, Runnable> timer) {
         this.loop = loop;
         this.deployment = deployment;
@@ -77,17 +76,17 @@
         this.jobs = jobs;
         this.starts = starts;
         this.term = term;
-        this.mayOrder = mayOrder;
+        this.entitlement = entitlement;
         this.rounds = rounds;
         this.news = news;
         this.timer = timer;
     }
 
-    static Answer refusal() {
+    private static Answer refusal() {
         return new Answer(503, Json.bytes(Json.object()));
     }
 
-    static Answer orders(long term, List<Order> orders) {
+    private static Answer orders(long term, List<Order> orders) {
         return new Answer(200, Json.bytes(WorkerWire.orders(term, orders)));
     }
 
@@ -101,11 +100,16 @@
 
     void receive(Report report, Consumer<Answer> reply) {
         long now = loop.now();
-        if (fleet.wasReleased(report.machine())) {
-            // A late report of a machine that is surely gone.
+        // A late report may be of a machine that is surely gone.
+        if (!entitlement.mayKeep() || report.token() > term || fleet.wasReleased(report.machine())) {
             reply.accept(refusal());
             return;
         }
+        Machine known = roster.machines.get(report.machine());
+        if (report.token() < term && !hasHeardNobody(report, known)) {
+            greet(known, report.tasks(), reply, now);
+            return;
+        }
         Machine machine = roster.machines.computeIfAbsent(report.machine(), name -> {
             LOG.info("machine {} reports unasked", name);
             return new Machine(name, new Pool(report.type(), report.zone(), report.spot()),
@@ -139,6 +143,34 @@
         }
     }
 
+    /** A worker that has seen no token has executed no order, and none can be on its way to it but by a record. */
+    private static boolean hasHeardNobody(Report report, Machine known) {
+        return report.token() == 0 && (known == null || !known.hinted);
+    }
+
+    /**
+     * A report made before its worker heard of this term tells nothing for sure: it may be a copy of an old one, or
+     * have been held back, while an order of the former leader is still on its way. The answer gives the token; the
+     * worker's next report counts. What must stop is told at once, lest leaders that change often never get to it.
+     */
+    private void greet(Machine machine, List<TaskReport> tasks, Consumer<Answer> reply, long now) {
+        List<Order> orders = new ArrayList<>();
+        for (TaskReport task : tasks) {
+            if (task.phase() != WorkerWire.Phase.EXITED && !roster.jobs.containsKey(task.job())) {
+                if (!entitlement.holdsClaim()) {
+                    reply.accept(refusal());
+                    return;
+                }
+                orders.add(new Stop(task.name(), task.attempt(), 0));
+            }
+        }
+        if (machine != null) {
+            // The answer may prolong its lease.
+            machine.reportedAt = now;
+        }
+        reply.accept(orders.isEmpty() ? nothing() : orders(term, orders));
+    }
+
     /** Brings the machine's bindings in line with its report; true if something ended or is new. */
     private boolean reconcile(Machine machine, Report report, long now) {
         boolean changed = !machine.everReported;
@@ -190,9 +222,9 @@
             }
         }
         if (there.size() < machine.bindings.size()) {
-            changed |= dropAbsent(machine, there, report.token());
+            changed |= dropAbsent(machine, there);
         }
-        if (!machine.settled && (report.token() >= term || !machine.hinted)) {
+        if (!machine.settled) {
             machine.settled = true;
             changed = true;
         }
@@ -203,15 +235,14 @@
     }
 
     /** What the report does not name is gone, as far as this can be sure. */
-    private boolean dropAbsent(Machine machine, Set<Binding> there, long token) {
+    private boolean dropAbsent(Machine machine, Set<Binding> there) {
         boolean dropped = false;
         for (Binding binding : List.copyOf(machine.bindings.values())) {
             boolean left = !there.contains(binding) && switch (binding.phase) {
                 case PLANNED, READY -> false;
-                // Its order was executed before this report was made, or never will be.
-                case SENT, SEEN -> true;
-                // Only a worker that has seen this term drops what the former leader may still send.
-                case HINTED -> token >= term;
+                // Its order was executed before this report was made, or never will be; so with a former leader's,
+                // as the worker has seen this term and drops what may still come of it.
+                case SENT, SEEN, HINTED -> true;
             };
             if (left) {
                 roster.unbind(binding);
@@ -362,15 +393,32 @@
                 || task.task() >= job.spec.tasks() || job.durable.get(task.task());
     }
 
+    /** Whether one of its tasks has been over for so long that its lease must not go on without an order to stop. */
+    private boolean mustEnd(Machine machine, List<TaskReport> tasks) {
+        for (TaskReport task : tasks) {
+            Binding binding = machine.bindings.get(task.name());
+            if (task.phase() != WorkerWire.Phase.EXITED && !roster.jobs.containsKey(task.job())
+                    && (binding == null || !entitlement.mayKeepOver(binding.overSince))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void answer(Machine machine) {
         Held open = held.remove(machine);
         machine.awaitsAnswer = false;
         if (open == null) {
             return;
         }
+        // Time may have passed since the report came.
+        if (!entitlement.mayKeep() || !entitlement.holdsClaim() && mustEnd(machine, open.tasks())) {
+            open.reply().accept(refusal());
+            return;
+        }
         List<Order> orders = new ArrayList<>();
         // A claim that has lapsed entitles to nothing but keeping the worker alive.
-        if (mayOrder.getAsBoolean()) {
+        if (entitlement.holdsClaim()) {
             for (TaskReport task : open.tasks()) {
                 Binding binding = machine.bindings.get(task.name());
                 if (task.phase() == WorkerWire.Phase.EXITED) {
@@ -385,10 +433,12 @@
                     orders.add(new Stop(task.name(), task.attempt(), binding.stopGraceS));
                 }
             }
-            for (Binding binding : machine.bindings.values()) {
-                if (binding.phase == Phase.READY) {
-                    binding.phase = Phase.SENT;
-                    orders.add(new Start(binding.taskName(), binding.attempt));
+            if (entitlement.mayStart()) {
+                for (Binding binding : machine.bindings.values()) {
+                    if (binding.phase == Phase.READY) {
+                        binding.phase = Phase.SENT;
+                        orders.add(new Start(binding.taskName(), binding.attempt));
+                    }
                 }
             }
         }
--- a/src/main/java/notchpick/coordination/leading/TakeOver.java
+++ b/src/main/java/notchpick/coordination/leading/TakeOver.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import java.util.function.ObjLongConsumer;
 import notchpick.bookkeeping.Ledger;
 import notchpick.bookkeeping.Records;
 import notchpick.protocol.Json;
@@ -12,6 +13,7 @@
 import notchpick.protocol.StateApi.Listing;
 import notchpick.protocol.StateApi.Missing;
 import notchpick.protocol.StateApi.Ok;
+import notchpick.transport.EventLoop;
 
 /**
  * Reads what a former leader left, one kind of records after the other. Jobs come first: what the
@@ -20,6 +22,7 @@
 final class TakeOver {
     private static final long RETRY_MS = 200;
 
+    private final EventLoop loop;
     private final StateApi state;
     private final Ledger ledger;
     private final BiConsumer<Long, Runnable> timer;
@@ -30,8 +33,9 @@
     private final LongConsumer done;
 
     /** @param done hears of the revision from which users' changes must be watched */
-    TakeOver(StateApi state, Ledger ledger, BiConsumer<Long, Runnable> timer, OpenJobs jobs, Starts starts,
+    TakeOver(EventLoop loop, StateApi state, Ledger ledger, BiConsumer<Long, Runnable> timer, OpenJobs jobs, Starts starts,
             Fleet fleet, Granting granting, LongConsumer done) {
+        this.loop = loop;
         this.state = state;
         this.ledger = ledger;
         this.timer = timer;
@@ -43,11 +47,11 @@
     }
 
     void begin() {
-        list(Records.OPEN, open -> {
-            jobs.load(open);
-            list(Records.DONE_TASKS, marks -> {
+        list(Records.OPEN, (open, sentAt) -> {
+            jobs.load(open, sentAt);
+            list(Records.DONE_TASKS, (marks, marksSentAt) -> {
                 jobs.loadDone(marks);
-                list(Records.STARTS, started -> {
+                list(Records.STARTS, (started, startsSentAt) -> {
                     starts.load(started);
                     get(Records.RELEASED, released -> {
                         fleet.load(Records.released(released));
@@ -61,10 +65,12 @@
         });
     }
 
-    private void list(String prefix, Consumer<Listing> then) {
+    /** @param then is given what there is, and when it was asked for */
+    private void list(String prefix, ObjLongConsumer<Listing> then) {
+        long sentAt = loop.now();
         state.listAll(prefix, result -> timer.accept(0L, () -> {
             if (result instanceof Ok<Listing> ok) {
-                then.accept(ok.value());
+                then.accept(ok.value(), sentAt);
             } else {
                 timer.accept(RETRY_MS, () -> list(prefix, then));
             }
