Scenarios with a mistake are told by file, line and a sentence; an unread takeover waits for an outage

A leader that has not read what was left gives way only while its claim stands: in an outage nobody else could read it either, and a single controller would only stand aside.

--- a/src/main/java/notchpick/coordination/leading/Leader.java
+++ b/src/main/java/notchpick/coordination/leading/Leader.java
@@ -119,13 +119,19 @@
         this.reports = new Reports(loop, deployment, roster, estimates, fleet, jobs, starts, term, entitlement,
                 () -> rounds, this::roundSoon, this::after);
         this.takeOver = new TakeOver(loop, state, ledger, this::after, jobs, starts, fleet, granting, this::begin);
-        after((long) (deployment.cancelS() * 250), () -> {
-            if (!entitlement.isLoaded()) {
+        every(unreadMs(), () -> {
+            // In an outage nobody else could read it either.
+            if (!entitlement.isLoaded() && entitlement.heldMs() > deployment.reportS() * 1000) {
                 giveWay.accept("what a former leader left can't be read");
             }
         });
     }
 
+    /** A leader that has read no cancellations for so long lets others try. */
+    private long unreadMs() {
+        return (long) (deployment.cancelS() * 250);
+    }
+
     /** A job's run time, the wait for a report that an order can ride on, and its image. */
     private double stageS(JobSpec spec) {
         return estimates.runS(spec) + deployment.reportS() / 2 + fleet.fetchS(spec.imageGb());
@@ -263,7 +269,7 @@
             }
             reports.judge(machine, now);
         }
-        if (now - Math.max(entitlement.knownAt(), awakeSince) > deployment.cancelS() * 250 && !isExcused()) {
+        if (now - Math.max(entitlement.knownAt(), awakeSince) > unreadMs() && !isExcused()) {
             giveWay.accept("cancellations can't be read");
         }
         // One worker that has just come up, and asks its way to the leader, is no sign of a cut.
--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import notchpick.coordination.Deployment.Limit;
 import notchpick.protocol.InvalidMessage;
@@ -34,6 +35,11 @@
  * first come lines without a time that describe the deployment. See the README.
  */
 class ScenarioTest {
+    private static final List<String> STATES = List.of("queued", "running", "done", "cancelled");
+    /** What may be said of a job, each with a value. */
+    private static final Set<String> OPTIONS = Set.of("tasks", "run", "vary", "needs", "urgency", "team", "cores", "gpus",
+            "ram", "image", "image-length", "zone", "one-zone", "apart", "ordinary", "expected", "saves", "due", "types",
+            "class", "form", "fails", "per-second", "for", "cancel");
     /** What a submission must not lack. */
     private static final List<String> REQUIRED = List.of("workclass", "ownerDesk", "jobForm", "urgency", "pieces",
             "cores", "gpus", "ramGb", "bundle", "sizeGb", "oneZone", "apart", "borrowed", "expectedS", "bookmarkS",
@@ -51,18 +57,67 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("scenarios")
     void plays(Path file) throws Exception {
-        int controllers = 3;
-        double requestsPerS = 300;
-        double writesPerS = 100;
-        Limits next = null;
-        Timing timing = Timing.DEFAULT;
-        boolean nextIsNews = false;
-        List<Limit> teams = new ArrayList<>();
-        List<MachineType> types = new ArrayList<>();
-        List<String[]> pools = new ArrayList<>();
-        List<String[]> steps = new ArrayList<>();
-        for (String line : Files.readAllLines(file)) {
-            String[] words = line.strip().split("\\s+");
+        play(file.getFileName().toString(), Files.readAllLines(file));
+    }
+
+    /** One line of a scenario that says what happens when. */
+    private record Step(int line, double atS, String[] words) {}
+
+    /** Something to be done that may find a line of a scenario to be wrong. */
+    private interface Reading {
+        void run() throws Exception;
+    }
+
+    /** What a scenario's author got wrong is told by file, line and one sentence. */
+    private static void reading(String name, int line, String text, Reading work) throws Exception {
+        String where = name + ":" + line + ": ";
+        try {
+            work.run();
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(where + "not a number in: " + text, e);
+        } catch (IndexOutOfBoundsException e) {
+            throw new IllegalArgumentException(where + "a value is missing: " + text, e);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(where + e.getMessage(), e);
+        }
+    }
+
+    static void play(String name, List<String> lines) throws Exception {
+        List<Step> steps = new ArrayList<>();
+        World world = read(name, lines, steps);
+        for (Step step : steps) {
+            world.simulation().runUntil((long) (step.atS() * 1000));
+            reading(name, step.line(), String.join(" ", step.words()), () -> play(world, step.words()));
+        }
+        assertEquals(List.of(), world.rules().breaches());
+        assertTrue(world.rules().starts() > 0, "nothing_ran");
+    }
+
+    /** The deployment that the lines without a time describe; the others are put into order. */
+    private static World read(String name, List<String> lines, List<Step> steps) throws Exception {
+        Description description = new Description();
+        for (int i = 0; i < lines.size(); i++) {
+            String line = lines.get(i);
+            int number = i + 1;
+            reading(name, number, line, () -> description.read(line.strip().split("\\s+"), number, steps));
+        }
+        steps.sort(Comparator.comparingDouble(Step::atS));
+        return description.world();
+    }
+
+    /** What is said of the deployment, as far as it differs from the usual. */
+    private static final class Description {
+        private int controllers = 3;
+        private double requestsPerS = 300;
+        private double writesPerS = 100;
+        private Limits next;
+        private Timing timing = Timing.DEFAULT;
+        private boolean nextIsNews;
+        private final List<Limit> teams = new ArrayList<>();
+        private final List<MachineType> types = new ArrayList<>();
+        private final List<String[]> pools = new ArrayList<>();
+
+        void read(String[] words, int line, List<Step> steps) {
             switch (words[0]) {
                 case "", "#" -> { }
                 case "requests-per-second" -> requestsPerS = Double.parseDouble(words[1]);
@@ -82,28 +137,30 @@
                         new Amounts(Double.parseDouble(words[2]), Double.parseDouble(words[3]), 64), 100, 1, 1, 0.3,
                         Double.parseDouble(words[4]), List.of("east", "west")));
                 case "pool" -> pools.add(words);
-                case "at" -> steps.add(words);
-                default -> throw new IllegalArgumentException(file + ": " + line);
+                case "at" -> {
+                    if (words.length < 3) {
+                        throw new IndexOutOfBoundsException();
+                    }
+                    steps.add(new Step(line, Double.parseDouble(words[1]), words));
+                }
+                default -> throw new IllegalArgumentException("unknown word " + words[0]);
             }
         }
-        teams = teams.isEmpty() ? List.of(new Limit("a", Amounts.NONE, Amounts.NONE)) : teams;
-        types = types.isEmpty()
-                ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
-                : types;
-        World world = new World(controllers, teams, types, requestsPerS, writesPerS, next, nextIsNews, timing);
-        if (pools.isEmpty()) {
-            world.capacity("m8", "east", true, 4);
-            world.capacity("m8", "west", true, 4);
-            world.capacity("m8", "east", false, 4);
-        }
-        pools.forEach(p -> world.capacity(p[1], p[2], p[3].equals("spot"), Integer.parseInt(p[4])));
-        steps.sort(Comparator.comparingDouble(words -> Double.parseDouble(words[1])));
-        for (String[] words : steps) {
-            world.simulation().runUntil((long) (Double.parseDouble(words[1]) * 1000));
-            play(world, words);
+
+        World world() {
+            List<Limit> allTeams = teams.isEmpty() ? List.of(new Limit("a", Amounts.NONE, Amounts.NONE)) : teams;
+            List<MachineType> allTypes = types.isEmpty()
+                    ? List.of(new MachineType("m8", new Amounts(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west")))
+                    : types;
+            World world = new World(controllers, allTeams, allTypes, requestsPerS, writesPerS, next, nextIsNews, timing);
+            if (pools.isEmpty()) {
+                world.capacity("m8", "east", true, 4);
+                world.capacity("m8", "west", true, 4);
+                world.capacity("m8", "east", false, 4);
+            }
+            pools.forEach(p -> world.capacity(p[1], p[2], p[3].equals("spot"), Integer.parseInt(p[4])));
+            return world;
         }
-        assertEquals(List.of(), world.rules().breaches());
-        assertTrue(world.rules().starts() > 0, "nothing_ran");
     }
 
     /** A controller by its own name, as who leads now, or by a name given earlier in the scenario. */
@@ -202,7 +259,7 @@
             case "wave" -> wave(world, first);
             case "notice" -> world.workers().forEach(worker -> worker.notice(Double.parseDouble(first)));
             case "expect" -> expect(world, words);
-            default -> throw new IllegalArgumentException(String.join(" ", words));
+            default -> throw new IllegalArgumentException("unknown word " + verb);
         }
     }
 
@@ -277,7 +334,10 @@
 
     private static Map<String, String> options(String[] words, int start) {
         Map<String, String> options = new HashMap<>();
-        for (int i = start; i + 1 < words.length; i += 2) {
+        for (int i = start; i < words.length; i += 2) {
+            if (!OPTIONS.contains(words[i])) {
+                throw new IllegalArgumentException("unknown word " + words[i]);
+            }
             options.put(words[i], words[i + 1]);
         }
         return options;
@@ -327,8 +387,13 @@
     private static void expect(World world, String[] words) {
         String where = String.join(" ", words);
         switch (words[3]) {
-            case "met" -> assertTrue(world.met(words[4]) >= Integer.parseInt(words[6]), () ->
-                    where + ": " + world.met(words[4]));
+            case "met" -> {
+                if (!World.MEETINGS.contains(words[4])) {
+                    throw new IllegalArgumentException("nothing is counted as " + words[4]);
+                }
+                assertTrue(world.met(words[4]) >= Integer.parseInt(words[6]), () ->
+                        where + ": " + world.met(words[4]));
+            }
             case "starts-after-cancel" -> assertTrue(world.rules().startsAfterCancel() <= Integer.parseInt(words[5]),
                     () -> where + ": " + world.rules().startsAfterCancel());
             case "gone-after-cancel" -> assertTrue(
@@ -373,7 +438,15 @@
                     where + ": " + world.state().overRate());
             case "term" -> assertEquals(Integer.parseInt(words[4]), world.term(), where);
             case "status" -> assertEquals(Integer.parseInt(words[5]), world.lastStatus(words[4]), where);
-            default -> assertEquals(words[4], world.told(words[3]), where);
+            default -> {
+                if (!world.knows(words[3])) {
+                    throw new IllegalArgumentException("no line before submits " + words[3]);
+                }
+                if (!STATES.contains(words[4])) {
+                    throw new IllegalArgumentException("no job is ever told to be " + words[4]);
+                }
+                assertEquals(words[4], world.told(words[3]), where);
+            }
         }
     }
 }
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -37,6 +37,10 @@
         public static final Timing DEFAULT = new Timing(3, 20, 40);
     }
 
+    /** What is counted of what a scenario may be made for; see {@link #met}. */
+    public static final Set<String> MEETINGS = Set.of("looks", "hangs", "cancelled-at-end", "ends", "copies",
+            "copies-for-next", "copies-in-later-term", "cancellations", "cancelled-while-nobody-led",
+            "cancelled-while-the-leader-was-refused", "refused-submissions", "untold-submissions", "unanswered-writes");
     /** How long a copy of a report may be under way, as a part of the workers' lease. */
     private static final double COPY_LEASES = 1.4;
     private static final long LOOK_MS = 2;
@@ -180,6 +184,11 @@
         return workers.get(name);
     }
 
+    /** Whether anybody submitted the job. */
+    public boolean knows(String job) {
+        return truths.containsKey(job) || lastStatus.containsKey(job);
+    }
+
     public String told(String job) {
         return status.getOrDefault(job, "nothing");
     }
@@ -478,7 +487,10 @@
 
     // ---- what a scenario is to bring about -------------------------------------------------------
 
-    public void meet(String what) {
+    private void meet(String what) {
+        if (!MEETINGS.contains(what)) {
+            throw new IllegalStateException(what);
+        }
         met.merge(what, 1, Integer::sum);
     }
 
