Copies of an earlier attempt made a task run twice: the scenario that shows it

Copies kept for the next leader arrive in order over two seconds now, and may be kept while no more are made.

--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -44,6 +44,8 @@
     /** How long a copy of a report may be under way, as a part of the workers' lease. */
     private static final double COPY_LEASES = 1.4;
     private static final long LOOK_MS = 2;
+    /** Copies that were kept for the next leader arrive within so long. */
+    private static final long COPIES_MS = 2000;
     private static final List<String> ZONES = List.of("east", "west");
     private static final String STATE = "10.2.0.1:2379";
     private static final String CLOUD = "10.2.0.2:8443";
@@ -78,6 +80,7 @@
     private double cancelAtEndShare;
     private boolean closeLooks;
     private int keptInTerm;
+    private boolean awaitsNextTerm;
     /** The last term whose leader crashed. */
     private int endedTerm;
     private final List<Limit> teams;
@@ -440,13 +443,14 @@
 
     /**
      * From now on a copy of this share of the reports arrives again: from two seconds to well over a lease later, or
-     * as soon as the next leader has begun.
+     * as soon as the next leader has begun; what is kept for that one stays kept when the share falls to none.
      */
     public void lateReports(double share, boolean forNext) {
         copyShare = share;
         copyForNext = forNext;
-        keptInTerm = term();
-        if (forNext && share > 0) {
+        if (forNext && !awaitsNextTerm) {
+            awaitsNextTerm = true;
+            keptInTerm = term();
             awaitNextTerm();
         }
     }
@@ -457,12 +461,17 @@
                 keptInTerm = term();
                 List<byte[]> copies = List.copyOf(keptForNext);
                 keptForNext.clear();
-                copies.forEach(copy -> nodes.forEach(node -> {
-                    meet("copies-for-next");
-                    call(node, "POST", "/hello", copy, answer -> { });
-                }));
+                for (int i = 0; i < copies.size(); i++) {
+                    byte[] copy = copies.get(i);
+                    // In their order, while the new leader reads what was left and just after.
+                    simulation.after(COPIES_MS * i / copies.size(), () -> nodes.forEach(node -> {
+                        meet("copies-for-next");
+                        call(node, "POST", "/hello", copy, answer -> { });
+                    }));
+                }
             }
-            if (copyForNext && copyShare > 0) {
+            awaitsNextTerm = copyForNext;
+            if (awaitsNextTerm) {
                 awaitNextTerm();
             }
         });
