--- a/src/main/java/notchpick/coordination/leading/Reports.java
+++ b/src/main/java/notchpick/coordination/leading/Reports.java
@@ -106,6 +106,11 @@
             return;
         }
         Machine known = roster.machines.get(report.machine());
+        if (known != null && (report.session() < known.session
+                || report.session() == known.session && report.sequence() <= known.sequence)) {
+            reply.accept(refusal());
+            return;
+        }
         if (report.token() < term && !hasHeardNobody(report, known)) {
             greet(known, report.tasks(), reply, now);
             return;
@@ -115,11 +120,6 @@
             return new Machine(name, new Pool(report.type(), report.zone(), report.spot()),
                     fleet.size(report.type()), now);
         });
-        if (report.session() < machine.session
-                || report.session() == machine.session && report.sequence() <= machine.sequence) {
-            reply.accept(refusal());
-            return;
-        }
         // The worker has given an earlier report up.
         refuse(machine);
         if (machine.life == Life.BOOTING) {
