Test world: one piece takes a task's job, what is refused and what is over; two lines broken

Found on the last reading: the world cut task names by itself and kept its own lists of refused controllers and cancelled jobs beside those of the stand-ins. Behaviour as it was; assertions untouched.

--- a/src/main/java/notchpick/coordination/leading/OpenJobs.java
+++ b/src/main/java/notchpick/coordination/leading/OpenJobs.java
@@ -62,7 +62,8 @@
      * @param changed hears when jobs have come or gone; saved, when tasks' ends have become durable
      */
     OpenJobs(EventLoop loop, Deployment deployment, StateApi state, Roster roster, Ledger ledger,
-            Entitlement entitlement, long watchMs, ToDoubleFunction<JobSpec> stageS, BiConsumer<Long, Runnable> timer, Runnable changed, Runnable saved) {
+            Entitlement entitlement, long watchMs, ToDoubleFunction<JobSpec> stageS, BiConsumer<Long, Runnable> timer,
+            Runnable changed, Runnable saved) {
         this.loop = loop;
         this.deployment = deployment;
         this.state = state;
--- a/src/main/java/notchpick/coordination/leading/TakeOver.java
+++ b/src/main/java/notchpick/coordination/leading/TakeOver.java
@@ -33,8 +33,8 @@
     private final LongConsumer done;
 
     /** @param done hears of the revision from which users' changes must be watched */
-    TakeOver(EventLoop loop, StateApi state, Ledger ledger, BiConsumer<Long, Runnable> timer, OpenJobs jobs, Starts starts,
-            Fleet fleet, Granting granting, LongConsumer done) {
+    TakeOver(EventLoop loop, StateApi state, Ledger ledger, BiConsumer<Long, Runnable> timer, OpenJobs jobs,
+            Starts starts, Fleet fleet, Granting granting, LongConsumer done) {
         this.loop = loop;
         this.state = state;
         this.ledger = ledger;
--- a/src/test/java/notchpick/MeetingWalkTest.java
+++ b/src/test/java/notchpick/MeetingWalkTest.java
@@ -135,8 +135,8 @@
             case ALL_CRASH -> world.nodes().forEach(node -> world.crash(node, Math.min(forMs, 40_000)));
             case LEADER_FREEZES -> world.freeze(leader, Math.min(forMs, 25_000));
             case LEADER_REFUSED -> {
-                world.refuse(leader, true);
-                later(forMs, leader + " is served again", () -> world.refuse(leader, false));
+                world.state().refuse(leader, true);
+                later(forMs, leader + " is served again", () -> world.state().refuse(leader, false));
             }
             case OUTAGE -> {
                 world.state().outage(true);
--- a/src/test/java/notchpick/ScenarioTest.java
+++ b/src/test/java/notchpick/ScenarioTest.java
@@ -214,8 +214,8 @@
             case "name" -> world.name(first, node(world, words[4]));
             case "watch-pauses" -> world.rules().watchPauses();
             case "outage" -> world.state().outage(first.equals("on"));
-            case "refuse" -> world.refuse(node(world, first), words[4].equals("on"));
-            case "refuse-none" -> world.nodes().forEach(node -> world.refuse(node, false));
+            case "refuse" -> world.state().refuse(node(world, first), words[4].equals("on"));
+            case "refuse-none" -> world.nodes().forEach(node -> world.state().refuse(node, false));
             case "watches-hang" -> world.state().watchesHang(first.equals("on"));
             case "lists-take" -> world.state().lists(millis(first));
             case "pages" -> world.state().pages(Integer.parseInt(first));
--- a/src/test/java/notchpick/standin/RuleBook.java
+++ b/src/test/java/notchpick/standin/RuleBook.java
@@ -194,7 +194,7 @@
         return all.isEmpty() ? null : all.get(all.size() - 1).state();
     }
 
-    private static String jobOf(String task) {
+    static String jobOf(String task) {
         return task.substring(0, task.indexOf('/'));
     }
 
@@ -270,6 +270,10 @@
         cancelAsked.add(job);
     }
 
+    boolean isCancelAsked(String job) {
+        return cancelAsked.contains(job);
+    }
+
     /** The job and all that it needs, directly or through others, as far as anybody submitted them. */
     private Set<String> withNeeds(String job) {
         Set<String> all = new LinkedHashSet<>();
@@ -346,7 +350,7 @@
         }
     }
 
-    private static boolean isFinal(String state) {
+    static boolean isFinal(String state) {
         return "done".equals(state) || "cancelled".equals(state);
     }
 
--- a/src/test/java/notchpick/standin/StateStandIn.java
+++ b/src/test/java/notchpick/standin/StateStandIn.java
@@ -171,6 +171,10 @@
         }
     }
 
+    public boolean refuses(String host) {
+        return refused.contains(host);
+    }
+
     /** The next so many commits get no answer, and are applied this much later. */
     public void loseCommits(int count, long lateMs) {
         loseAnswers = count;
--- a/src/test/java/notchpick/standin/World.java
+++ b/src/test/java/notchpick/standin/World.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +72,6 @@
     private final Map<String, Integer> met = new LinkedHashMap<>();
     private final Random chance = new Random(11);
     private final Timing timing;
-    private final Set<String> refused = new HashSet<>();
     private final List<byte[]> keptForNext = new ArrayList<>();
     private double copyShare;
     private boolean copyForNext;
@@ -92,7 +90,6 @@
     private final StateStandIn state;
     private final CloudStandIn cloud;
     private final List<String> nodes = new ArrayList<>();
-    private final Set<String> cancelAsked = new HashSet<>();
     private final Map<String, String> names = new HashMap<>();
     private int turn;
     private int turnedAway;
@@ -402,8 +399,8 @@
     public List<String> cancelNow(int count) {
         Map<String, Integer> running = new LinkedHashMap<>();
         workers.values().forEach(worker -> worker.tasks().forEach(
-                task -> running.merge(task.substring(0, task.indexOf('/')), 1, Integer::sum)));
-        List<String> chosen = running.keySet().stream().filter(job -> !cancelAsked.contains(job))
+                task -> running.merge(RuleBook.jobOf(task), 1, Integer::sum)));
+        List<String> chosen = running.keySet().stream().filter(job -> !rules.isCancelAsked(job))
                 .sorted(Comparator.comparingLong((String job) -> -truths.get(job).runMs())).limit(count).toList();
         chosen.forEach(job -> simulation.after(chance.nextInt(200), () -> cancel(job)));
         return chosen;
@@ -412,7 +409,7 @@
     /** Up to eight machines on which tasks of these jobs are stand still for a while. */
     public void hangMachinesOf(List<String> jobs, long forMs) {
         workers.values().stream().filter(worker -> worker.tasks().stream()
-                .anyMatch(task -> jobs.contains(task.substring(0, task.indexOf('/'))))).limit(8)
+                .anyMatch(task -> jobs.contains(RuleBook.jobOf(task)))).limit(8)
                 .forEach(worker -> hang(worker, forMs));
     }
 
@@ -429,7 +426,7 @@
 
     @Override
     public void completed(String task) {
-        String job = task.substring(0, task.indexOf('/'));
+        String job = RuleBook.jobOf(task);
         Truth truth = truths.get(job);
         meet("ends");
         if (cancelAtEndShare > 0 && rules.completed(truth.spec()) == truth.spec().tasks()
@@ -508,22 +505,12 @@
         return what.equals("unanswered-writes") ? state.appliedUnanswered() : met.getOrDefault(what, 0);
     }
 
-    /** The state service answers 503 to this controller alone. */
-    public void refuse(String node, boolean on) {
-        state.refuse(node, on);
-        if (on) {
-            refused.add(node);
-        } else {
-            refused.remove(node);
-        }
-    }
-
     /** Under what circumstances a cancellation was confirmed. */
     private void noteCancellation() {
         meet("cancellations");
         if (leader() == null || term() == endedTerm) {
             meet("cancelled-while-nobody-led");
-        } else if (refused.contains(leader())) {
+        } else if (state.refuses(leader())) {
             meet("cancelled-while-the-leader-was-refused");
         }
     }
@@ -546,7 +533,7 @@
         Amounts use = Amounts.NONE;
         for (WorkerStandIn worker : workers.values()) {
             for (String task : worker.tasks()) {
-                JobSpec other = truths.get(task.substring(0, task.indexOf('/'))).spec();
+                JobSpec other = truths.get(RuleBook.jobOf(task)).spec();
                 use = other.team().equals(spec.team()) ? use.plus(other.demand()) : use;
                 if (other == spec) {
                     fellows.merge(worker.zone(), 1, Integer::sum);
@@ -554,7 +541,7 @@
             }
         }
         int placed = fellows.values().stream().mapToInt(Integer::intValue).sum();
-        boolean waits = !truth.fails() && !cancelAsked.contains(spec.id())
+        boolean waits = !truth.fails() && !rules.isCancelAsked(spec.id())
                 && rules.completed(spec) + placed < spec.tasks()
                 && spec.needs().stream().allMatch(need -> "done".equals(told(need)));
         Amounts wanted = use.plus(spec.demand());
@@ -568,7 +555,7 @@
     private Amounts room(WorkerStandIn worker) {
         Amounts room = worker.type().size();
         for (String task : worker.tasks()) {
-            room = room.minus(demand(task.substring(0, task.indexOf('/'))));
+            room = room.minus(demand(RuleBook.jobOf(task)));
         }
         return room;
     }
@@ -587,7 +574,6 @@
 
     public void cancel(String job) {
         rules.cancelAsked(job);
-        cancelAsked.add(job);
         long askedAt = simulation.now();
         call("POST", "/submissions/" + job + "/abort", new byte[0], answer -> {
             String before = told(job);
@@ -618,7 +604,7 @@
         if (answer.status() / 100 == 2) {
             String before = status.get(job);
             // Answers cross on their way: what is over stays over for whoever looks at the last word.
-            if (!"done".equals(before) && !"cancelled".equals(before)) {
+            if (!RuleBook.isFinal(before)) {
                 status.put(job, state);
             }
             if ("done".equals(state) && !"done".equals(before)) {
@@ -636,7 +622,7 @@
 
     @Override
     public long runMs(String task) {
-        Truth truth = truths.get(task.substring(0, task.indexOf('/')));
+        Truth truth = truths.get(RuleBook.jobOf(task));
         // By the task's name, so that it is the same wherever it runs.
         double part = Math.floorMod(task.hashCode() * 31L, 1000) / 500.0 - 1;
         return Math.round(truth.runMs() * (1 + truth.vary() * part));
