--- a/review/standin/review/TinyTasks.java
+++ b/review/standin/review/TinyTasks.java
@@ -16,7 +16,7 @@
         Site site = new Site(Site.Options.mombasa());
         site.start();
         var body = trouble
-                ? Jobs.submission("run-000301", 1500, 0.02, 0.1)
+                ? Jobs.submission("run-000301", 3000, 0.01, 0.05)
                 : Jobs.submission("run-000301", 200, 0.25, 0.45);
         body.put("ownerDesk", "fleet-tech").put("workclass", "sensor-poke").put("expectedS", 10.0);
         body.putArray("boxKinds").add("kubwa-32");
