Election: a controller no longer ends the lease of an election that it may still win

Cause: polls, campaigns and leadership ran side by side in LeaderElection, and answers were interpreted by the state at their arrival. A poll, caused by a late answer of the watch, read the leader key of the controller's own election, took it for a remnant and ended its lease. The next controller was elected at once, then the late answer arrived and the first one led as well, with the lease that it had ended. The bound after which a new leader frees tasks holds only if the former leader's lease has expired before.

Fix: a controller follows, campaigns or leads, one at a time. Each phase has a number, and an answer counts only in the phase in which its request was sent. A key with its own name that is read while following can only be a remnant, as no campaign has begun since the read was sent; a lease is ended only once its campaign or term is over for good. An election that is answered after a later term was reported does not count. No time bound is changed.

ElectionStateTest names the phases; what it checked before it still checks.

--- a/src/main/java/notchpick/coordination/membership/ElectionState.java
+++ b/src/main/java/notchpick/coordination/membership/ElectionState.java
@@ -3,19 +3,33 @@
 import java.util.Objects;
 
 /**
- * One controller's view of the leadership, and whether it leads itself. A state machine without I/O or a clock:
+ * One controller's view of the leadership, and its own part in it. A state machine without I/O or a clock:
  * {@link LeaderElection} sends the requests, runs the timers and passes the current time.
+ *
+ * <p>The controller is in one phase at a time, and each phase has a number. An answer to a request counts only in the
+ * phase in which the request was sent. So a read of the leader key that was sent while following is never compared with
+ * an election that began after it, and an election whose campaign is over can't be won any more.
  */
 final class ElectionState {
+    /** What a controller does in the election. */
+    private enum Phase {
+        /** Polls the leader key. */
+        FOLLOWING,
+        /** Has sent requests that may make it the leader, and does not know their outcome. */
+        CAMPAIGNING,
+        /** Leads the current term. */
+        LEADING
+    }
+
     private final String node;
-    private boolean leading;
+    private Phase phase = Phase.FOLLOWING;
+    /** The number of the current phase, which increases with each change of phase. */
+    private long generation;
     /** The state store lease that the leader key is attached to; valid only while this controller leads. */
     private long lease;
 
     private long term;
     private String leader;
-    /** Incremented on election and on resignation, so that callbacks from an earlier leadership can be ignored. */
-    private long generation;
 
     private long holdoffUntilMs;
     /** When the leader key was first found missing; 0 if it is not known to be missing. */
@@ -79,10 +93,19 @@
         holdoffUntilMs = untilMs;
     }
 
-    /** Records that this controller has been elected. */
+    /** Begins a campaign, whose requests may make this controller the leader. */
+    void startCampaign() {
+        leavePhase(Phase.FOLLOWING, Phase.CAMPAIGNING);
+    }
+
+    /** Ends the campaign without success. From now on it can't be won, whatever answers still arrive. */
+    void abandonCampaign() {
+        leavePhase(Phase.CAMPAIGNING, Phase.FOLLOWING);
+    }
+
+    /** Records that this controller has been elected in its campaign. */
     void startLeading(long electedTerm, long leaderLease) {
-        leading = true;
-        generation++;
+        leavePhase(Phase.CAMPAIGNING, Phase.LEADING);
         lease = leaderLease;
         term = electedTerm;
         leader = node;
@@ -90,30 +113,42 @@
 
     /** Ends the leadership of this controller. A later leader that is already known is kept. */
     void stopLeading() {
-        leading = false;
-        generation++;
+        leavePhase(Phase.LEADING, Phase.FOLLOWING);
         leader = Objects.equals(leader, node) ? null : leader;
     }
 
     /** Ends the leadership of this controller because its leader lease has expired. */
     void loseLease() {
-        leading = false;
+        leavePhase(Phase.LEADING, Phase.FOLLOWING);
         leader = null;
     }
 
+    private void leavePhase(Phase expected, Phase next) {
+        if (phase != expected) {
+            throw new IllegalStateException("is " + phase + ", not " + expected);
+        }
+        phase = next;
+        generation++;
+    }
+
+    boolean isFollowing() {
+        return phase == Phase.FOLLOWING;
+    }
+
     boolean isLeading() {
-        return leading;
+        return phase == Phase.LEADING;
     }
 
-    /** Whether this controller has led without interruption since the given generation began. */
-    boolean isLeadingSince(long formerGeneration) {
-        return leading && generation == formerGeneration;
+    /** Whether the phase with this number has not ended. */
+    boolean isCurrent(long formerGeneration) {
+        return generation == formerGeneration;
     }
 
     boolean isHolder(String leaderKeyHolder) {
         return node.equals(leaderKeyHolder);
     }
 
+    /** The number of the current phase. */
     long generation() {
         return generation;
     }
--- a/src/main/java/notchpick/coordination/membership/LeaderElection.java
+++ b/src/main/java/notchpick/coordination/membership/LeaderElection.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Random;
+import java.util.function.Consumer;
 import notchpick.coordination.Deployment;
 import notchpick.protocol.Json;
 import notchpick.protocol.StateStoreClient;
@@ -20,6 +21,10 @@
  * Elects the leader through the state store. The leader key is attached to a state store lease, which the leader
  * renews. The transaction that creates the key also increments the term. Each controller polls and watches the key, and
  * campaigns when it is missing. {@link ElectionState} holds the local view of the leadership.
+ *
+ * <p>The other controllers rely on a leader's lease having expired before the next election. Therefore a controller never
+ * leads with a lease whose end it has requested: it ends the lease of an election only once it can't win that election
+ * any more, and it follows, campaigns or leads, but does not do two of these at a time.
  */
 public final class LeaderElection extends Actor<LeaderElection.Message> {
     /** The messages of this actor. */
@@ -160,14 +165,20 @@
     }
 
     private void poll() {
-        if (state.isLeading()) {
+        if (!state.isFollowing()) {
             return;
         }
-        stateStore.getHedged(StateKeys.LEADER, onLoop(result -> {
-            if (!state.isLeading()) {
-                handleLeaderKeyResult(result);
+        stateStore.getHedged(StateKeys.LEADER, onLoopInPhase(this::handleLeaderKeyResult));
+    }
+
+    /** Drops the answer if the phase in which the request is sent has ended when the answer arrives. */
+    private <T> Consumer<T> onLoopInPhase(Consumer<T> callback) {
+        long generation = state.generation();
+        return onLoop(answer -> {
+            if (state.isCurrent(generation)) {
+                callback.accept(answer);
             }
-        }));
+        });
     }
 
     private void handleLeaderKeyResult(StateStoreResult<Entry> result) {
@@ -185,7 +196,11 @@
     private void handleLeaderKey(Entry key) {
         String holder = key.value().path(NODE_FIELD).asText();
         if (state.isHolder(holder)) {
-            // The key is from before a restart of this controller, or from an election whose response was lost.
+            // The key is from before a restart of this controller, from a campaign that it has abandoned, or from a
+            // term
+            // that it has ended. It can't be from an election that may still be won, as no campaign has begun since the
+            // key was requested.
+            log.info("removing own leader key: term={} lease={}", key.value().path(TERM_FIELD), key.lease());
             state.clearLeader();
             stateStore.endLease(key.lease(), onLoop(ended -> schedulePoll()));
             return;
@@ -218,7 +233,7 @@
         watching = true;
         stateStore.changes(StateKeys.LEADER, version, leaseMs, onLoop(result -> {
             watching = false;
-            if (!state.isLeading() && result instanceof Ok<Changes> ok && isLeaderKeyDeleted(ok.value())) {
+            if (state.isFollowing() && result instanceof Ok<Changes> ok && isLeaderKeyDeleted(ok.value())) {
                 schedulePoll(random.nextInt((int) Math.max(1, pollIntervalMs / WATCH_JITTER_PART)));
             }
         }));
@@ -229,23 +244,30 @@
     }
 
     private void campaign() {
-        stateStore.get(StateKeys.TERM, onLoop(result -> {
+        state.startCampaign();
+        stateStore.get(StateKeys.TERM, onLoopInPhase(result -> {
             if (result instanceof Ok<Entry> ok) {
                 JsonNode record = ok.value().value();
                 checkFormat(record.path(FORMAT_FIELD).asInt(1));
                 if (formatIncompatible) {
-                    schedulePoll();
+                    followAgain();
                 } else {
                     requestLease(record.path(TERM_FIELD).asLong(), ok.value().version());
                 }
             } else if (result instanceof Missing<Entry>) {
                 requestLease(0, 0);
             } else {
-                schedulePoll();
+                followAgain();
             }
         }));
     }
 
+    /** Abandons a campaign that has not sent the electing transaction. */
+    private void followAgain() {
+        state.abandonCampaign();
+        schedulePoll();
+    }
+
     private void checkFormat(int format) {
         boolean wasIncompatible = formatIncompatible;
         formatIncompatible = format != StateKeys.FORMAT;
@@ -259,11 +281,11 @@
 
     private void requestLease(long formerTerm, long termVersion) {
         long sentAtMs = loop.nowMs();
-        stateStore.grantLease(leaseMs, onLoop(result -> {
+        stateStore.grantLease(leaseMs, onLoopInPhase(result -> {
             if (result instanceof Ok<Long> granted) {
                 commitElection(formerTerm + 1, termVersion, granted.value(), sentAtMs);
             } else {
-                schedulePoll();
+                followAgain();
             }
         }));
     }
@@ -275,19 +297,26 @@
                 .requireVersion(StateKeys.TERM, termVersion)
                 .put(StateKeys.LEADER, Json.object().put(NODE_FIELD, node).put(TERM_FIELD, newTerm), newLease)
                 .put(StateKeys.TERM, Json.object().put(TERM_FIELD, newTerm).put(FORMAT_FIELD, StateKeys.FORMAT));
-        stateStore.commit(transaction, onLoop(result -> {
-            if (result instanceof Ok<Long> version) {
-                state.startLeading(newTerm, newLease);
+        stateStore.commit(transaction, onLoopInPhase(result -> {
+            if (result instanceof Ok<Long> version && state.term() <= newTerm) {
                 log.info("leader elected: term={} leader={} lease={}", newTerm, node, newLease);
+                state.startLeading(newTerm, newLease);
                 listener.elected(new ElectedTerm(newTerm, version.value(), safelyHeldUntilMs(leaseRequestedAtMs)));
-                scheduleRenewal(state.generation());
+                scheduleRenewal();
             } else {
+                log.info(
+                        "campaign abandoned: term={} lease={} knownTerm={} result={}",
+                        newTerm,
+                        newLease,
+                        state.term(),
+                        result);
                 abandonElection(result, newLease);
             }
         }));
     }
 
     private void abandonElection(StateStoreResult<Long> result, long unusedLease) {
+        state.abandonCampaign();
         // If only the response was lost, the key may exist or still appear. Ending the lease deletes it.
         stateStore.endLease(unusedLease, onLoop(ended -> {}));
         if (result instanceof Conflict<Long>) {
@@ -301,23 +330,21 @@
         return requestedAtMs + Deployment.leaseSafelyHeldMs(leaseMs);
     }
 
-    private void scheduleRenewal(long generation) {
-        schedule(leaseMs / RENEWALS_PER_LEASE, () -> renewLease(generation));
+    private void scheduleRenewal() {
+        long generation = state.generation();
+        schedule(leaseMs / RENEWALS_PER_LEASE, () -> {
+            if (state.isCurrent(generation)) {
+                renewLease();
+            }
+        });
     }
 
-    private void renewLease(long generation) {
-        if (!state.isLeadingSince(generation)) {
-            return;
-        }
+    private void renewLease() {
         long sentAtMs = loop.nowMs();
-        stateStore.renewLease(state.lease(), onLoop(result -> {
-            if (state.isLeadingSince(generation)) {
-                handleLeaseRenewal(result, sentAtMs, generation);
-            }
-        }));
+        stateStore.renewLease(state.lease(), onLoopInPhase(result -> handleLeaseRenewal(result, sentAtMs)));
     }
 
-    private void handleLeaseRenewal(StateStoreResult<Boolean> result, long sentAtMs, long generation) {
+    private void handleLeaseRenewal(StateStoreResult<Boolean> result, long sentAtMs) {
         if (result instanceof Missing<Boolean>) {
             log.info("leader lease lost: term={} lease={}", state.term(), state.lease());
             state.loseLease();
@@ -328,6 +355,6 @@
         if (result instanceof Ok<Boolean>) {
             listener.leaseRenewed(safelyHeldUntilMs(sentAtMs));
         }
-        scheduleRenewal(generation);
+        scheduleRenewal();
     }
 }
--- a/src/test/java/notchpick/Fault.java
+++ b/src/test/java/notchpick/Fault.java
@@ -96,6 +96,19 @@
     FORMER_LEADER_RESUMES((run, leader, durationMs) -> {
         run.slowDown(leader, "workers", 9000);
         run.controllers().freeze(leader, run.between(2000, 9000));
+    }),
+    STATE_STORE_ANSWERS_LATE((run, leader, durationMs) -> {
+        run.cluster().delayAnswers(0.25, 1400);
+        run.runLater(
+                durationMs,
+                "the state store answers in time again",
+                () -> run.cluster().delayAnswers(0, 0));
+    }),
+    /** The next leader learns of its election late, and reads the leader key while it waits. */
+    ELECTION_ANSWERED_LATE((run, leader, durationMs) -> {
+        run.cluster().holdWatchesUntilElection(run.between(0, 300));
+        run.cluster().delayNextAnswers("commit", "\"put\":\"leader\"", run.between(100, 1400), 1);
+        run.controllers().crash(leader, run.between(200, 8000));
     });
 
     /** Applies a fault to the cluster. */
--- a/src/test/java/notchpick/ScenarioVerbs.java
+++ b/src/test/java/notchpick/ScenarioVerbs.java
@@ -103,6 +103,23 @@
                             .forEach(node -> cluster.stateStore().setRefused(node, false))),
             entry("watches-hang", (cluster, step) -> cluster.stateStore().setWatchesHanging(step.isOn(0))),
             entry("list-delay", (cluster, step) -> cluster.stateStore().setListDelay(step.millisArgument(0))),
+            // The next answers to requests of one kind that name a key take this many seconds longer.
+            entry(
+                    "delay-next-answers",
+                    (cluster, step) -> cluster.delayNextAnswers(
+                            step.subject(), step.argument(1), step.millisArgument(2), step.intArgument(3))),
+            // The answers to watches of the leader key are sent this many seconds after the next election.
+            entry(
+                    "hold-watches-until-election",
+                    (cluster, step) -> cluster.holdWatchesUntilElection(step.millisArgument(0))),
+            // A share of all answers takes up to this many seconds longer; a share of 0 ends this.
+            entry(
+                    "delay-answers",
+                    (cluster, step) -> cluster.delayAnswers(step.doubleArgument(0), (int) step.millisArgument(1))),
+            // The leader crashes after its next transaction that writes a key with this prefix, and restarts later.
+            entry(
+                    "crash-leader-after-write",
+                    (cluster, step) -> cluster.crashLeaderAfterNextWrite(step.subject(), step.millisArgument(1))),
             entry("max-list-items", (cluster, step) -> cluster.stateStore().setMaxListItems(step.intArgument(0))),
             entry("enforce-announced-limits", (cluster, step) -> cluster.enforceAnnouncedLimits()),
             entry(
--- a/src/test/java/notchpick/coordination/membership/ElectionStateTest.java
+++ b/src/test/java/notchpick/coordination/membership/ElectionStateTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -39,31 +40,65 @@
         assertEquals("n-2", state.leader());
     }
 
+    private void elect(long term, long lease) {
+        state.startCampaign();
+        state.startLeading(term, lease);
+    }
+
     @Test
     void distinguishesLeadershipsAfterResignation() {
-        state.startLeading(1, 11);
+        elect(1, 11);
         long generation = state.generation();
-        assertTrue(state.isLeadingSince(generation));
+        assertTrue(state.isLeading());
+        assertTrue(state.isCurrent(generation));
         state.stopLeading();
-        assertFalse(state.isLeadingSince(generation));
-        state.startLeading(2, 12);
-        assertFalse(state.isLeadingSince(generation));
+        assertFalse(state.isLeading());
+        assertFalse(state.isCurrent(generation));
+        elect(2, 12);
+        assertFalse(state.isCurrent(generation));
         assertEquals(12, state.lease());
     }
 
     @Test
     void distinguishesLeadershipsAfterLeaseExpiry() {
-        state.startLeading(1, 11);
+        elect(1, 11);
         long generation = state.generation();
         state.loseLease();
+        assertFalse(state.isLeading());
         assertNull(state.leader());
-        state.startLeading(2, 12);
-        assertFalse(state.isLeadingSince(generation));
+        elect(2, 12);
+        assertFalse(state.isCurrent(generation));
     }
 
     @Test
-    void resignationKeepsOtherKnownLeader() {
+    void abandonedCampaignCanNotBeWon() {
+        long following = state.generation();
+        state.startCampaign();
+        long campaign = state.generation();
+        assertFalse(state.isFollowing());
+        assertFalse(state.isCurrent(following));
+        state.abandonCampaign();
+        assertTrue(state.isFollowing());
+        assertFalse(state.isCurrent(following));
+        assertFalse(state.isCurrent(campaign));
+        assertThrows(IllegalStateException.class, () -> state.startLeading(1, 11));
+    }
+
+    @Test
+    void followsCampaignsOrLeadsButNotTwoAtATime() {
+        assertThrows(IllegalStateException.class, state::stopLeading);
+        state.startCampaign();
+        assertThrows(IllegalStateException.class, state::startCampaign);
+        assertThrows(IllegalStateException.class, state::stopLeading);
         state.startLeading(1, 11);
+        assertThrows(IllegalStateException.class, state::startCampaign);
+        assertThrows(IllegalStateException.class, () -> state.startLeading(2, 12));
+        assertEquals(1, state.term());
+    }
+
+    @Test
+    void resignationKeepsOtherKnownLeader() {
+        elect(1, 11);
         state.observeTerm(2, "n-1");
         state.stopLeading();
         assertEquals("n-1", state.leader());
@@ -71,7 +106,7 @@
 
     @Test
     void resignationClearsOwnLeadership() {
-        state.startLeading(1, 11);
+        elect(1, 11);
         state.stopLeading();
         assertNull(state.leader());
         assertFalse(state.isLeading());
--- a/src/test/java/notchpick/simulation/InvariantChecker.java
+++ b/src/test/java/notchpick/simulation/InvariantChecker.java
@@ -269,6 +269,11 @@
         }
     }
 
+    /** Records that a leader has renewed a worker's lease although it had ended the lease of its own term before. */
+    void recordRenewalAfterResignation(String worker, long term) {
+        addViolation("renewed_after_resignation", "lease of " + worker + " in term " + term);
+    }
+
     /** Records that no fault is active from now on; only then are waiting and unanswered jobs violations. */
     public void recordFaultsOver() {
         faultsOverAtMs = clock.getAsLong();
--- a/src/test/java/notchpick/simulation/Occurrence.java
+++ b/src/test/java/notchpick/simulation/Occurrence.java
@@ -31,7 +31,11 @@
     STALE_ANSWER_DROPPED,
     CANCELLED_JUST_BEFORE_LEADER_REFUSED,
     CANCELLED_JUST_AFTER_LEADER_REFUSED,
-    CANCELLED_WITH_ALL_TEAMS_AT_LIMIT;
+    CANCELLED_WITH_ALL_TEAMS_AT_LIMIT,
+    /** A controller learned late that it had been elected. */
+    ELECTION_ANSWERED_LATE,
+    /** The leader crashed after one transaction and before its next. */
+    LEADER_CRASHED_AFTER_WRITE;
 
     /** The occurrence with this name in scenario files: the constant's name in lower case with hyphens. */
     public static Optional<Occurrence> ofScenarioWord(String word) {
--- a/src/test/java/notchpick/simulation/SimulatedCluster.java
+++ b/src/test/java/notchpick/simulation/SimulatedCluster.java
@@ -8,6 +8,7 @@
 import notchpick.coordination.Deployment.Quota;
 import notchpick.scheduling.MachineType;
 import notchpick.scheduling.NodePool;
+import notchpick.simulation.StateStoreAnswerDelays.RequestKind;
 import notchpick.storage.StateKeys;
 import notchpick.transport.HttpCaller;
 
@@ -95,6 +96,8 @@
         stateStore.setPutListener(StateKeys.LEADER, users::onLeaderElected);
         occurrences.setExternalCounter(Occurrence.WRITE_APPLIED_WITHOUT_ANSWER, stateStore::appliedWithoutAnswer);
         occurrences.setExternalCounter(Occurrence.PACKET_DELAYED, network::delayedPackets);
+        occurrences.setExternalCounter(
+                Occurrence.ELECTION_ANSWERED_LATE, stateStore.answerDelays()::lateElectionAnswers);
     }
 
     /** Writes all later messages and transactions to the transcript. */
@@ -183,6 +186,34 @@
         }
     }
 
+    /** Delays the next answers of the state store; see {@link StateStoreAnswerDelays#delayNext}. */
+    public void delayNextAnswers(String kind, String text, long delayMs, int answers) {
+        stateStore.answerDelays().delayNext(RequestKind.ofScenarioWord(kind), text, delayMs, answers);
+    }
+
+    /** Delays a share of the state store's answers; see {@link StateStoreAnswerDelays#delayShare}. */
+    public void delayAnswers(double share, int maxDelayMs) {
+        stateStore.answerDelays().delayShare(share, maxDelayMs);
+    }
+
+    /** See {@link StateStoreAnswerDelays#holdWatchesUntilElection}. */
+    public void holdWatchesUntilElection(long afterElectionMs) {
+        stateStore.answerDelays().holdWatchesUntilElection(afterElectionMs);
+    }
+
+    /**
+     * Crashes the leader right after its next transaction that writes a key with this prefix, before it gets the answer
+     * or sends another transaction.
+     */
+    public void crashLeaderAfterNextWrite(String prefix, long restartMs) {
+        stateStore.runAfterNextWrite(
+                prefix,
+                () -> controllers.leader().ifPresent(leader -> {
+                    occurrences.increment(Occurrence.LEADER_CRASHED_AFTER_WRITE);
+                    controllers.crash(leader, restartMs);
+                }));
+    }
+
     /** Has users cancel up to {@code count} jobs that have tasks on machines; returns the chosen jobs. */
     public List<String> cancelRunning(int count) {
         return users.cancelSome(fleet.tasksByJob().keySet(), count);
@@ -219,6 +250,13 @@
             }
         }
 
+        @Override
+        public void leaseRenewed(String worker, long token, long heartbeatSentAtMs) {
+            if (stateStore.resignedTerms().hadResignedBefore(token, heartbeatSentAtMs)) {
+                invariants.recordRenewalAfterResignation(worker, token);
+            }
+        }
+
         @Override
         public void startOrderLost() {
             lostStartOrders++;
--- a/src/test/java/notchpick/simulation/SimulatedStateStore.java
+++ b/src/test/java/notchpick/simulation/SimulatedStateStore.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.URLDecoder;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -13,6 +10,7 @@
 import notchpick.protocol.Json;
 import notchpick.simulation.StateStoreData.Entry;
 import notchpick.simulation.StateStoreWatches.Watch;
+import notchpick.storage.StateKeys;
 import notchpick.transport.HttpCaller.Request;
 import notchpick.transport.HttpCaller.Response;
 import notchpick.transport.HttpHandler;
@@ -37,6 +35,8 @@
     private final StateStoreData data;
     private final StateStoreLeases leases;
     private final StateStoreWatches watches;
+    private final StateStoreAnswerDelays answerDelays;
+    private final ResignedTerms resignedTerms = new ResignedTerms();
     private Transcript transcript = Transcript.NONE;
     private int maxTransactionWrites;
     private int maxValueBytes = MAX_VALUE_BYTES;
@@ -63,6 +63,7 @@
         this.data = new StateStoreData(clock);
         this.leases = new StateStoreLeases(clock, timer, faults, this::deleteKeysOfLease);
         this.watches = new StateStoreWatches(clock, timer, data, faults);
+        this.answerDelays = new StateStoreAnswerDelays(timer);
     }
 
     /** Writes all later transactions to the transcript. */
@@ -174,8 +175,27 @@
         faults.setListDelay(delayMs);
     }
 
+    /** The delays of single answers. */
+    StateStoreAnswerDelays answerDelays() {
+        return answerDelays;
+    }
+
+    /** The terms whose leaders have ended their leases. */
+    ResignedTerms resignedTerms() {
+        return resignedTerms;
+    }
+
+    /** Runs the action once, right after the next transaction that writes a key with this prefix. */
+    void runAfterNextWrite(String prefix, Runnable action) {
+        data.runAfterNextWrite(prefix, () -> timer.schedule(0, action));
+    }
+
     @Override
     public void handle(Request call, Consumer<Response> reply) {
+        execute(call, answerDelays.delaying(call, reply));
+    }
+
+    private void execute(Request call, Consumer<Response> reply) {
         if (!faults.isOutage() && !requestRate.tryTake(1)) {
             requestsOverRate++;
             reply.accept(OVER_RATE);
@@ -196,7 +216,7 @@
     }
 
     private Watch newWatch(Request call, Consumer<Response> reply) {
-        Map<String, String> query = query(call);
+        Map<String, String> query = QueryParameters.of(call);
         long nowMs = clock.getAsLong();
         return new Watch(
                 call.target(),
@@ -221,7 +241,7 @@
     }
 
     private void handleList(Request call, Consumer<Response> reply) {
-        Response answer = list(query(call));
+        Response answer = list(QueryParameters.of(call));
         if (faults.listDelayMs() > 0) {
             timer.schedule(faults.listDelayMs(), () -> reply.accept(answer));
         } else {
@@ -245,6 +265,7 @@
             return notFound();
         }
         if (call.method().equals("DELETE")) {
+            resignedTerms.recordLeaseEnd(lease, data.get(StateKeys.LEADER), clock.getAsLong());
             leases.end(lease);
         } else {
             leases.renew(lease);
@@ -364,16 +385,4 @@
         node.set("v", entry.value());
         return node;
     }
-
-    private static Map<String, String> query(Request call) {
-        Map<String, String> query = new HashMap<>();
-        String[] parts = call.path().split("\\?", 2);
-        if (parts.length == 2) {
-            for (String part : parts[1].split("&", -1)) {
-                String[] pair = part.split("=", 2);
-                query.put(pair[0], URLDecoder.decode(pair[1], StandardCharsets.UTF_8));
-            }
-        }
-        return query;
-    }
 }
--- a/src/test/java/notchpick/simulation/SimulatedWorker.java
+++ b/src/test/java/notchpick/simulation/SimulatedWorker.java
@@ -39,6 +39,9 @@
         /** A worker carries out a start order that was sent under this fencing token. */
         default void startOrdered(long token) {}
 
+        /** A worker accepts an answer with this fencing token, which renews its lease. */
+        default void leaseRenewed(String worker, long token, long heartbeatSentAtMs) {}
+
         /** A start order was lost because messages to the worker are lost. */
         default void startOrderLost() {}
 
@@ -258,6 +261,7 @@
         } else if (sent.incarnation() == lease.incarnation()) {
             lease.raiseToken(token);
             lease.renew(sent.sentAtMs());
+            environment.listener().leaseRenewed(name(), token, sent.sentAtMs());
             executeAll(answer.path("orders"));
         }
         boolean hasChanged =
--- a/src/test/java/notchpick/simulation/StateStoreData.java
+++ b/src/test/java/notchpick/simulation/StateStoreData.java
@@ -26,6 +26,9 @@
     private final List<Change> log = new ArrayList<>();
     private final Map<String, Long> deletedAtMs = new HashMap<>();
     private final Map<String, Runnable> putListeners = new HashMap<>();
+    /** Actions to run after the next write of a key with a prefix, by prefix. */
+    private final Map<String, Runnable> actionsAfterWrite = new HashMap<>();
+
     private long revision;
 
     StateStoreData(LongSupplier clock) {
@@ -81,6 +84,7 @@
         entries.put(key, new Entry(value, revision, lease));
         log.add(new Change(key, value, revision));
         putListeners.getOrDefault(key, () -> {}).run();
+        runActionsAfterWrite(key);
     }
 
     /** Deletes a key in the current revision; does nothing if the key does not exist. */
@@ -96,6 +100,18 @@
         return deletedAtMs.getOrDefault(key, -1L);
     }
 
+    /** Runs the action once, when a key with this prefix is next written. */
+    void runAfterNextWrite(String prefix, Runnable action) {
+        actionsAfterWrite.put(prefix, action);
+    }
+
+    private void runActionsAfterWrite(String key) {
+        List<String> due = actionsAfterWrite.keySet().stream()
+                .filter(prefix -> key.startsWith(prefix))
+                .toList();
+        due.forEach(prefix -> actionsAfterWrite.remove(prefix).run());
+    }
+
     void setPutListener(String key, Runnable listener) {
         putListeners.put(key, listener);
     }
