Recovery: a leader ends jobs whose completions its predecessor recorded without their end

Cause: a job's end was written only on the event of its last completion. Completions are packed, so one transaction can record the completions of many jobs, while each end takes two of its twelve writes. When the leader crashes before the next transaction, its successor loads the completions, and no report completes a task any more.

Fix: after recovery, a leader ends each open job whose tasks are all done. The write is the usual one, conditional on the leader key and on the job's description.

--- a/src/main/java/notchpick/coordination/leader/LeaderRecovery.java
+++ b/src/main/java/notchpick/coordination/leader/LeaderRecovery.java
@@ -22,7 +22,8 @@
 
 /**
  * Reads the state that a former leader left, one kind of record after another. Open jobs are read first, so that each
- * job that a later record refers to is either open or has ended for good.
+ * job that a later record refers to is either open or has ended for good. Then takes up what the former leader had not
+ * finished and that no event would trigger again.
  */
 final class LeaderRecovery {
     private static final long RETRY_MS = 200;
@@ -84,6 +85,7 @@
     private void loadCommitments(Runnable then) {
         get(StateKeys.COMMITMENTS, commitments -> {
             allocator.loadCommitments(CommitmentsCodec.decode(commitments));
+            jobs.endCompletedJobs();
             then.run();
         });
     }
--- a/src/main/java/notchpick/coordination/leader/jobs/JobTracker.java
+++ b/src/main/java/notchpick/coordination/leader/jobs/JobTracker.java
@@ -192,13 +192,34 @@
      */
     public void taskCompleted(Job job, int task) {
         if (job.isDone()) {
-            String id = job.id();
-            writer.write("end " + id, () -> cluster.job(id) == job ? Optional.of(prepareEnd(job)) : Optional.empty());
+            writeEnd(job);
         } else {
             completions.record(job, task);
         }
     }
 
+    /**
+     * Ends the open jobs whose tasks have all completed; must be called when the former leader's state has been loaded.
+     * The last completion of a job and its end may be in different transactions, and the former leader may have crashed
+     * between the two. Then no report completes a task of the job any more.
+     */
+    public void endCompletedJobs() {
+        for (Job job : cluster.jobs()) {
+            if (job.isDone()) {
+                LOG.info(
+                        "ending job that a former leader left open: job={} tasks={}",
+                        job.id(),
+                        job.spec().tasks());
+                writeEnd(job);
+            }
+        }
+    }
+
+    private void writeEnd(Job job) {
+        String id = job.id();
+        writer.write("end " + id, () -> cluster.job(id) == job ? Optional.of(prepareEnd(job)) : Optional.empty());
+    }
+
     /**
      * Prepares the end of a job that is done. The write requires the current version of the job's description, which a
      * cancellation deletes, so that a job can't be both done and cancelled.
--- a/src/test/java/notchpick/Fault.java
+++ b/src/test/java/notchpick/Fault.java
@@ -109,6 +109,18 @@
         run.cluster().holdWatchesUntilElection(run.between(0, 300));
         run.cluster().delayNextAnswers("commit", "\"put\":\"leader\"", run.between(100, 1400), 1);
         run.controllers().crash(leader, run.between(200, 8000));
+    }),
+    /** Many small jobs end together while answers to transactions are late, so that their ends take several. */
+    LEADER_CRASHES_BETWEEN_TRANSACTIONS((run, leader, durationMs) -> {
+        run.submitJobsThatEndTogether();
+        run.cluster().delayNextAnswers("commit", "\"done/", run.between(500, 1400), 4);
+        List<String> prefixes = List.of("done/", "done/", "job/", "start/", "open/", "released");
+        String prefix = prefixes.get(run.random().nextInt(prefixes.size()));
+        long restartMs = run.between(200, 8000);
+        run.runLater(
+                run.between(0, 9000),
+                "the leader crashes after its next write of " + prefix,
+                () -> run.cluster().crashLeaderAfterNextWrite(prefix, restartMs));
     });
 
     /** Applies a fault to the cluster. */
--- a/src/test/java/notchpick/FaultRun.java
+++ b/src/test/java/notchpick/FaultRun.java
@@ -37,6 +37,8 @@
     private static final int STREAM_JOBS = 25;
 
     private static final long STREAM_INTERVAL_MS = 2000;
+    /** More jobs than one transaction can end. */
+    private static final int JOBS_THAT_END_TOGETHER = 24;
     /** The longest wait for an event. */
     private static final long MAX_WAIT_MS = 7000;
 
@@ -51,6 +53,7 @@
     private final Random random;
     private final SimulatedCluster cluster;
     private int wideJobs;
+    private int smallJobs;
 
     /** Creates a cluster with this number of controllers, but no machine capacity and no jobs yet. */
     FaultRun(int seed, int controllers, WorkerTiming timing) {
@@ -227,6 +230,14 @@
         runLater(between(20, 6000), "users cancel " + job, () -> cluster.users().cancel(job));
     }
 
+    /** Submits small urgent jobs whose tasks all run for the same time. */
+    void submitJobsThatEndTogether() {
+        for (int i = 0; i < JOBS_THAT_END_TOGETHER; i++) {
+            String job = String.format("run-03%04d", smallJobs++);
+            submitValid(job, Map.of("tasks", "2", "team", "b", "urgency", "high", "due", "60"), 4);
+        }
+    }
+
     /** Runs the cluster until shortly after an event of a random kind or for a random time, or not at all. */
     void awaitRandomEvent() {
         switch (random.nextInt(6)) {
--- a/src/test/java/notchpick/simulation/InvariantChecker.java
+++ b/src/test/java/notchpick/simulation/InvariantChecker.java
@@ -41,6 +41,7 @@
     /** Ids of submissions that must not be accepted. */
     private final Set<String> invalidJobs = new HashSet<>();
 
+    private final DoneStateChecker doneStates = new DoneStateChecker();
     private final List<String> violations = new ArrayList<>();
     private int starts;
     private int tasksKilledByLeaseExpiry;
@@ -222,6 +223,7 @@
     /** Records that a task has completed. */
     public void recordCompletion(String task) {
         completed.add(task);
+        doneStates.recordCompletion(jobOf(task), task, clock.getAsLong());
     }
 
     private void checkCancelledTaskStopped(String task, List<String> target) {
@@ -333,6 +335,9 @@
             addViolation("invalid_transition", job + " from " + knownState + " to " + state);
         }
         checkState(spec, state);
+        if (!isFinal(state) && doneStates.isOverdue(spec, requestedAtMs, faultsOverAtMs)) {
+            addViolation("done_not_reported", job + " is " + state);
+        }
         servedJobs.recordAnswer(job, state);
         answers.add(job, state, clock.getAsLong());
     }
