Election: a campaign and the leader key have classes of their own

LeaderElection held polls, the watch, the three requests of a campaign and the renewals. Campaign now makes one attempt to be elected and passes on one typed outcome; LeaderKey encodes and decodes the key.

--- a/src/main/java/notchpick/coordination/membership/LeaderElection.java
+++ b/src/main/java/notchpick/coordination/membership/LeaderElection.java
@@ -1,18 +1,17 @@
 package notchpick.coordination.membership;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Random;
 import java.util.function.Consumer;
 import notchpick.coordination.Deployment;
-import notchpick.protocol.Json;
+import notchpick.coordination.membership.Campaign.IncompatibleFormat;
+import notchpick.coordination.membership.Campaign.NotElected;
+import notchpick.coordination.membership.Campaign.Won;
 import notchpick.protocol.StateStoreClient;
 import notchpick.protocol.StateStoreClient.Changes;
 import notchpick.protocol.StateStoreClient.Entry;
 import notchpick.protocol.StateStoreResult;
-import notchpick.protocol.StateStoreResult.Conflict;
 import notchpick.protocol.StateStoreResult.Missing;
 import notchpick.protocol.StateStoreResult.Ok;
-import notchpick.protocol.Transaction;
 import notchpick.storage.StateKeys;
 import notchpick.transport.Actor;
 import notchpick.transport.EventLoop;
@@ -60,10 +59,6 @@
     /** The maximum jitter of a poll triggered by the watch is the poll interval divided by this. */
     private static final int WATCH_JITTER_PART = 4;
 
-    private static final String NODE_FIELD = "node";
-    private static final String TERM_FIELD = "term";
-    private static final String FORMAT_FIELD = "format";
-
     private final String node;
     private final StateStoreClient stateStore;
     private final Random random;
@@ -184,7 +179,7 @@
     private void handleLeaderKeyResult(StateStoreResult<Entry> result) {
         if (result instanceof Ok<Entry> ok) {
             state.clearVacancy();
-            handleLeaderKey(ok.value());
+            handleLeaderKey(LeaderKey.decode(ok.value()));
         } else if (result instanceof Missing<Entry>) {
             handleLeaderKeyMissing();
         } else {
@@ -193,19 +188,18 @@
         }
     }
 
-    private void handleLeaderKey(Entry key) {
-        String holder = key.value().path(NODE_FIELD).asText();
-        if (state.isHolder(holder)) {
+    private void handleLeaderKey(LeaderKey key) {
+        if (state.isHolder(key.holder())) {
             // The key is from before a restart of this controller, from a campaign that it has abandoned, or from a
             // term
             // that it has ended. It can't be from an election that may still be won, as no campaign has begun since the
             // key was requested.
-            log.info("removing own leader key: term={} lease={}", key.value().path(TERM_FIELD), key.lease());
+            log.info("removing own leader key: term={} lease={}", key.term(), key.lease());
             state.clearLeader();
             stateStore.endLease(key.lease(), onLoop(ended -> schedulePoll()));
             return;
         }
-        state.recordLeader(key.value().path(TERM_FIELD).asLong(), holder);
+        state.recordLeader(key.term(), key.holder());
         watch(key.version());
         schedulePoll();
     }
@@ -245,85 +239,53 @@
 
     private void campaign() {
         state.startCampaign();
-        stateStore.get(StateKeys.TERM, onLoopInPhase(result -> {
-            if (result instanceof Ok<Entry> ok) {
-                JsonNode record = ok.value().value();
-                checkFormat(record.path(FORMAT_FIELD).asInt(1));
-                if (formatIncompatible) {
-                    followAgain();
-                } else {
-                    requestLease(record.path(TERM_FIELD).asLong(), ok.value().version());
-                }
-            } else if (result instanceof Missing<Entry>) {
-                requestLease(0, 0);
-            } else {
-                followAgain();
-            }
-        }));
+        new Campaign(loop, node, stateStore, leaseMs, onLoopInPhase(this::handleOutcome)).start();
     }
 
-    /** Abandons a campaign that has not sent the electing transaction. */
-    private void followAgain() {
+    private void handleOutcome(Campaign.Outcome outcome) {
+        if (outcome instanceof Won won && state.term() <= won.term().number()) {
+            formatIncompatible = false;
+            lead(won.term(), won.lease());
+            return;
+        }
         state.abandonCampaign();
-        schedulePoll();
-    }
-
-    private void checkFormat(int format) {
-        boolean wasIncompatible = formatIncompatible;
-        formatIncompatible = format != StateKeys.FORMAT;
-        if (formatIncompatible && !wasIncompatible) {
-            log.error(
-                    "not serving: reason=\"incompatible records in the state store\" format={} supportedFormat={}",
-                    format,
-                    StateKeys.FORMAT);
+        if (outcome instanceof Won won) {
+            // A peer has reported a later term, so the lease has ended or is about to.
+            endElection(won.term().number(), won.lease());
+        } else if (outcome instanceof NotElected lost) {
+            formatIncompatible = false;
+            endElection(lost.term(), lost.lease());
+            if (lost.keyExists()) {
+                poll();
+                return;
+            }
+        } else if (outcome instanceof IncompatibleFormat incompatible) {
+            recordIncompatibleFormat(incompatible.format());
         }
+        schedulePoll();
     }
 
-    private void requestLease(long formerTerm, long termVersion) {
-        long sentAtMs = loop.nowMs();
-        stateStore.grantLease(leaseMs, onLoopInPhase(result -> {
-            if (result instanceof Ok<Long> granted) {
-                commitElection(formerTerm + 1, termVersion, granted.value(), sentAtMs);
-            } else {
-                followAgain();
-            }
-        }));
+    private void lead(ElectedTerm term, long lease) {
+        log.info("leader elected: term={} leader={} lease={}", term.number(), node, lease);
+        state.startLeading(term.number(), lease);
+        listener.elected(term);
+        scheduleRenewal();
     }
 
-    /** Creates the leader key, provided that it does not exist and the term is unchanged since it was read. */
-    private void commitElection(long newTerm, long termVersion, long newLease, long leaseRequestedAtMs) {
-        Transaction transaction = new Transaction()
-                .requireVersion(StateKeys.LEADER, 0)
-                .requireVersion(StateKeys.TERM, termVersion)
-                .put(StateKeys.LEADER, Json.object().put(NODE_FIELD, node).put(TERM_FIELD, newTerm), newLease)
-                .put(StateKeys.TERM, Json.object().put(TERM_FIELD, newTerm).put(FORMAT_FIELD, StateKeys.FORMAT));
-        stateStore.commit(transaction, onLoopInPhase(result -> {
-            if (result instanceof Ok<Long> version && state.term() <= newTerm) {
-                log.info("leader elected: term={} leader={} lease={}", newTerm, node, newLease);
-                state.startLeading(newTerm, newLease);
-                listener.elected(new ElectedTerm(newTerm, version.value(), safelyHeldUntilMs(leaseRequestedAtMs)));
-                scheduleRenewal();
-            } else {
-                log.info(
-                        "campaign abandoned: term={} lease={} knownTerm={} result={}",
-                        newTerm,
-                        newLease,
-                        state.term(),
-                        result);
-                abandonElection(result, newLease);
-            }
-        }));
+    /** Ends the lease of an election that can't be won any more. */
+    private void endElection(long electionTerm, long lease) {
+        log.info("campaign abandoned: term={} lease={} knownTerm={}", electionTerm, lease, state.term());
+        stateStore.endLease(lease, onLoop(ended -> {}));
     }
 
-    private void abandonElection(StateStoreResult<Long> result, long unusedLease) {
-        state.abandonCampaign();
-        // If only the response was lost, the key may exist or still appear. Ending the lease deletes it.
-        stateStore.endLease(unusedLease, onLoop(ended -> {}));
-        if (result instanceof Conflict<Long>) {
-            poll();
-        } else {
-            schedulePoll();
+    private void recordIncompatibleFormat(int format) {
+        if (!formatIncompatible) {
+            log.error(
+                    "not serving: reason=\"incompatible records in the state store\" format={} supportedFormat={}",
+                    format,
+                    StateKeys.FORMAT);
         }
+        formatIncompatible = true;
     }
 
     private long safelyHeldUntilMs(long requestedAtMs) {
