--- a/review/standin-2/Cloud.java
+++ b/review/standin-2/Cloud.java
@@ -42,7 +42,6 @@
     private final Map<String, ArrayNode> slips = new HashMap<>();
     private final List<String> zones;
     private int last;
-    private boolean outage;
 
     Cloud(Worker.Fleet fleet, Worker.Observer observer, List<String> zones, Type type, long listLagMs) {
         this.fleet = fleet;
@@ -61,10 +60,6 @@
         capacity.put(zone + spot, count);
     }
 
-    synchronized void setOutage(boolean value) {
-        outage = value;
-    }
-
     /** Adds a machine that is up from the start. */
     synchronized Worker addRunning(String zone, boolean spot) throws IOException {
         Machine machine = add(zone, spot, Rec.ms() - 60_000, Rec.ms() - 30_000);
@@ -111,9 +106,6 @@
 
     private synchronized Answer handle(String method, String path, Map<String, String> query, JsonNode body)
             throws IOException {
-        if (outage) {
-            return new Answer(503, Http.object().put("error", "trouble"));
-        }
         return switch (path) {
             case "/machine_types" -> new Answer(200, types());
             case "/rentals" -> method.equals("POST") ? rent(body) : list(query);
--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -111,7 +111,6 @@
     private final Map<String, Path> settings = new LinkedHashMap<>();
     private final Map<String, Boolean> results = new ConcurrentHashMap<>();
     private final Map<String, String> onMachine = new ConcurrentHashMap<>();
-    private final List<String> broken = new ArrayList<>();
     private final Map<String, String> lastStatus = new ConcurrentHashMap<>();
     private final Map<String, Long> waitingSinceMs = new HashMap<>();
     private final HttpClient users = Http.client();
@@ -119,7 +118,6 @@
     private final List<Worker.Ordered> orders = new java.util.concurrent.CopyOnWriteArrayList<>();
     private final java.util.Set<String> started = ConcurrentHashMap.newKeySet();
     private volatile int failures;
-    private int starts;
 
     Deployment(Site site) throws IOException {
         this.site = site;
@@ -241,17 +239,6 @@
         Rec.log(cut ? "%s is cut off from the state service and the other controllers" : "%s is no longer cut off", node);
     }
 
-    void kill(String node) throws InterruptedException {
-        Process process = processes.get(node);
-        process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
-        Rec.log("%s killed", node);
-    }
-
-    void signal(String node, String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(node).pid())).start().waitFor();
-        Rec.log("%s gets SIG%s", node, signal);
-    }
-
     /** The lines of the controllers' logs that hold one of the words, for the record. */
     void copyLogs(String... words) throws IOException {
         for (String node : settings.keySet()) {
@@ -362,10 +349,6 @@
         return results.containsKey(task);
     }
 
-    int starts() {
-        return starts;
-    }
-
     /** How many tasks of the job started by orders in answers to reports that their workers sent after this time. */
     int startedByOrdersAfter(String id, long ms) {
         int count = 0;
@@ -402,14 +385,9 @@
 
     @Override
     public synchronized void started(Worker worker, String task, long attempt) {
-        starts++;
         started.add(task + "#" + attempt);
-        String other = onMachine.put(task, worker.name);
+        onMachine.put(task, worker.name);
         Rec.log("machine %s: %s try %d is on the machine", worker.name, task, attempt);
-        if (other != null) {
-            broken.add("ran_twice: " + task + " started on " + worker.name + " while it is on " + other);
-            Rec.log("BROKEN %s", broken.get(broken.size() - 1));
-        }
     }
 
     @Override
@@ -419,10 +397,6 @@
         Rec.log("machine %s: %s try %d ended: %s", worker.name, task, attempt, why);
     }
 
-    synchronized List<String> broken() {
-        return List.copyOf(broken);
-    }
-
     /**
      * How long a task of the job has been waiting without a break while a machine that fits has room, in milliseconds;
      * must be called regularly. In the cases here no
--- a/review/standin-2/StateService.java
+++ b/review/standin-2/StateService.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -17,7 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import review2.Http.Answer;
 
-/** The state service, with one address for each controller so that it can refuse a single one. */
+/** The state service, with one address for each controller so that a single one can be cut off. */
 final class StateService {
     private static final int KEPT_CHANGES = 10_000;
     private static final int MAX_BYTES = 512 << 10;
@@ -56,7 +55,6 @@
     private final NavigableMap<String, Entry> keys = new TreeMap<>();
     private final Deque<Change> log = new ArrayDeque<>();
     private final Map<Long, Lease> leases = new HashMap<>();
-    private final Set<String> refused = ConcurrentHashMap.newKeySet();
     private final Set<String> cut = ConcurrentHashMap.newKeySet();
     private final Bucket requests;
     private final Bucket writes;
@@ -65,7 +63,6 @@
     private long ledger = 1;
     private long lastLease;
     private long droppedUpTo;
-    private boolean outage;
 
     StateService(double rps, double writeRps, int valueKb, int txnOps) {
         this.requests = new Bucket(rps);
@@ -81,23 +78,6 @@
         Http.serve(port, (method, path, query, body) -> handle(node, method, path, query, body));
     }
 
-    synchronized void setOutage(boolean value) {
-        if (outage && !value) {
-            leases.values().forEach(lease -> lease.untilMs = Rec.ms() + lease.ttlMs);
-        }
-        outage = value;
-        notifyAll();
-    }
-
-    synchronized void setRefused(String node, boolean value) {
-        if (value) {
-            refused.add(node);
-        } else {
-            refused.remove(node);
-        }
-        notifyAll();
-    }
-
     /** Cuts a node off or ends the cut: its requests are held, and carried out late when the cut ends, unanswered. */
     synchronized void setCut(String node, boolean value) {
         if (value) {
@@ -124,25 +104,18 @@
         return false;
     }
 
-    synchronized JsonNode value(String key) {
-        Entry entry = keys.get(key);
-        return entry == null ? null : entry.value();
-    }
-
     private void expireLeases() {
         try {
             while (true) {
                 Thread.sleep(10);
                 synchronized (this) {
-                    if (!outage) {
-                        List<Long> ended = new ArrayList<>();
-                        leases.forEach((id, lease) -> {
-                            if (Rec.ms() > lease.untilMs) {
-                                ended.add(id);
-                            }
-                        });
-                        ended.forEach(this::endLease);
-                    }
+                    List<Long> ended = new ArrayList<>();
+                    leases.forEach((id, lease) -> {
+                        if (Rec.ms() > lease.untilMs) {
+                            ended.add(id);
+                        }
+                    });
+                    ended.forEach(this::endLease);
                 }
             }
         } catch (InterruptedException e) {
@@ -185,16 +158,13 @@
                 wait(1000);
             }
             if (wasCut) {
-                if (!outage && path.equals("/commit")) {
+                if (path.equals("/commit")) {
                     commit(body);
-                } else if (!outage && path.startsWith("/holds")) {
+                } else if (path.startsWith("/holds")) {
                     lease(method, path, body);
                 }
                 return new Answer(0, null);
             }
-            if (outage || refused.contains(node)) {
-                return new Answer(503, null);
-            }
             if (!requests.take(1)) {
                 return new Answer(429, null);
             }
@@ -331,7 +301,7 @@
         long since = Long.parseLong(query.getOrDefault("since", "0"));
         long untilMs = Rec.ms() + Long.parseLong(query.getOrDefault("holdMs", "0"));
         while (true) {
-            if (!outage && !refused.contains(node) && !cut.contains(node)) {
+            if (!cut.contains(node)) {
                 if (since < droppedUpTo) {
                     return new Answer(410, null);
                 }
