--- a/src/test/java/notchpick/FaultRun.java
+++ b/src/test/java/notchpick/FaultRun.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import notchpick.coordination.Deployment.Quota;
 import notchpick.protocol.InvalidMessageException;
+import notchpick.scheduling.MachineType;
 import notchpick.scheduling.Resources;
 import notchpick.simulation.ClusterConfig;
 import notchpick.simulation.Occurrence;
@@ -57,19 +58,39 @@
 
     /** Creates a cluster with this number of controllers, but no machine capacity and no jobs yet. */
     FaultRun(int seed, int controllers, WorkerTiming timing) {
+        this(
+                seed,
+                controllers,
+                timing,
+                List.of(
+                        new Quota("a", Resources.NONE, new Resources(40, 0, 0)),
+                        new Quota("b", Resources.NONE, Resources.NONE)),
+                List.of(ClusterConfig.machineType("m8", 2)));
+    }
+
+    private FaultRun(int seed, int controllers, WorkerTiming timing, List<Quota> teams, List<MachineType> types) {
         random = new Random(seed);
         cluster = new SimulatedCluster(ClusterConfig.builder()
                 .controllers(controllers)
-                .teams(List.of(
-                        new Quota("a", Resources.NONE, new Resources(40, 0, 0)),
-                        new Quota("b", Resources.NONE, Resources.NONE)))
-                .machineTypes(List.of(ClusterConfig.machineType("m8", 2)))
+                .teams(teams)
+                .machineTypes(types)
                 .requestsPerS(500)
                 .writesPerS(150)
                 .timing(timing)
                 .build());
     }
 
+    /** Creates a cluster whose jobs restrict where their tasks may run, and runs it until faults may begin. */
+    static FaultRun withConstrainedJobs(int seed, int controllers, WorkerTiming timing) {
+        FaultRun run = new FaultRun(seed, controllers, timing, ConstrainedJobs.teams(), ConstrainedJobs.machineTypes());
+        ConstrainedJobs.offerMachines(run.cluster);
+        run.cluster.time().runUntil(3000);
+        ConstrainedJobs.submit(run.cluster);
+        run.cluster.time().runUntil(15_000);
+        run.cluster.users().setReadAfterEachChange(true);
+        return run;
+    }
+
     /** Submits the jobs and runs the cluster until faults may begin. */
     void start(Transcript transcript) throws InvalidMessageException {
         cluster.record(transcript);
