Placement: a one-zone job starts nowhere while two zones may have tasks of it

Cause: allowsZoneAmongTasks allowed each zone in which a task of the job may be. "May be" is the right question for what a task holds, but not for what it permits: late heartbeats and records of lost tasks put the job in a second zone, and from then on both were open, for as long as the job had tasks. The decision was also made once, at the placement, and the command sent later without asking again.

Now LaunchGuard decides, at the placement and again when the command is due. What is not permitted any more is withdrawn: never sent, pending again, with another attempt number at its next placement. Just before a command is sent the guard asserts the decision; a violation is one ERROR line, the start is withheld, and every simulated run fails on it.

--- a/src/main/java/notchpick/app/Controller.java
+++ b/src/main/java/notchpick/app/Controller.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.LaunchCounters;
 import notchpick.coordination.userapi.UserRequestHandler;
 import notchpick.scheduling.MachineType;
 import notchpick.scheduling.Milliseconds;
@@ -75,6 +76,11 @@
         }
     }
 
+    /** The launches that this controller has withheld; may be read only while no work runs on its event loop. */
+    public LaunchCounters launchCounters() {
+        return components.launchCounters();
+    }
+
     private void checkCancellationBound() {
         long boundMs = deployment.cancellationBoundMs(leaderLeaseMs / Milliseconds.PER_SECOND);
         if (boundMs > deployment.cancelTimeoutMs()) {
--- a/src/main/java/notchpick/app/ControllerComponents.java
+++ b/src/main/java/notchpick/app/ControllerComponents.java
@@ -6,6 +6,7 @@
 import notchpick.coordination.Tuning;
 import notchpick.coordination.leader.Leader;
 import notchpick.coordination.leader.LeaderEnvironment;
+import notchpick.coordination.leader.term.LaunchCounters;
 import notchpick.coordination.membership.ElectionPriority;
 import notchpick.coordination.membership.FailoverStateStoreTransport;
 import notchpick.coordination.membership.HeartbeatRouter;
@@ -40,6 +41,7 @@
     private final HeartbeatRouter heartbeatRouter;
     private final PeerAnnouncer announcer;
     private final UserRequestHandler userRequests;
+    private final LaunchCounters launchCounters = new LaunchCounters();
 
     /** @param caller must run its callbacks on the controller's event loop */
     ControllerComponents(EventLoop loop, Deployment deployment, Tuning tuning, HttpCaller caller, Random random) {
@@ -60,7 +62,16 @@
         cloud = new CloudClient(caller, deployment.cloudAddress(), CLOUD_TIMEOUT_MS);
         localLeader = new LocalLeader(
                 new LeaderEnvironment(
-                        loop, deployment, tuning, stateStore, cloud, peers, peerClient, links, stateStoreTransport),
+                        loop,
+                        deployment,
+                        tuning,
+                        stateStore,
+                        cloud,
+                        peers,
+                        peerClient,
+                        links,
+                        stateStoreTransport,
+                        launchCounters),
                 this::stepDown);
         election = new LeaderElection(
                 loop,
@@ -152,6 +163,10 @@
         return announcer;
     }
 
+    LaunchCounters launchCounters() {
+        return launchCounters;
+    }
+
     UserRequestHandler userRequests() {
         return userRequests;
     }
--- a/src/main/java/notchpick/coordination/leader/Leader.java
+++ b/src/main/java/notchpick/coordination/leader/Leader.java
@@ -12,6 +12,7 @@
 import notchpick.coordination.leader.heartbeat.TaskJournal;
 import notchpick.coordination.leader.jobs.JobTracker;
 import notchpick.coordination.leader.scaling.Autoscaler;
+import notchpick.coordination.leader.term.LaunchGuard;
 import notchpick.coordination.leader.term.LeaderAuthority;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.coordination.membership.ElectedTerm;
@@ -113,18 +114,20 @@
         this.authority = new LeaderAuthority(loop::nowMs, deployment, leaderLeaseS, term.leaseUntilMs());
         this.writer = writer(environment, term);
         this.autoscaler = new Autoscaler(context, environment.cloud(), writer, this::machineGone, this::reviewScaling);
+        LaunchGuard launchGuard = new LaunchGuard(context, environment.launchCounters());
         this.leases = new ResourceLeases(
                 context,
                 environment.tuning(),
                 environment.peers(),
                 environment.peerClient(),
+                launchGuard,
                 new ResourceLeaseListener());
         this.allocator = new ResourceAllocator(context, environment.tuning(), leases);
         this.rounds = new AllocationScheduler(context, authority, allocator, this::replyToHeartbeats);
         this.jobs = jobTracker(environment, leaderLeaseMs / CANCELLATION_READS_PER_LEASE);
         this.launches = new TaskLaunchLog(context, writer, new LaunchListener());
         this.machineHealth = new MachineHealthMonitor(context);
-        this.heartbeats = new HeartbeatHandler(context, authority, machineHealth, new Journal(), rounds);
+        this.heartbeats = new HeartbeatHandler(context, authority, launchGuard, machineHealth, new Journal(), rounds);
         this.recovery =
                 new LeaderRecovery(context, environment.stateStore(), writer, jobs, launches, autoscaler, allocator);
         this.pauses = new ProcessPauseDetector(context, tickMs());
--- a/src/main/java/notchpick/coordination/leader/LeaderEnvironment.java
+++ b/src/main/java/notchpick/coordination/leader/LeaderEnvironment.java
@@ -2,6 +2,7 @@
 
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.LaunchCounters;
 import notchpick.coordination.membership.FailoverStateStoreTransport;
 import notchpick.coordination.membership.LinkMonitor;
 import notchpick.coordination.membership.PeerClient;
@@ -20,4 +21,5 @@
         PeerRegistry peers,
         PeerClient peerClient,
         LinkMonitor links,
-        FailoverStateStoreTransport stateStoreTransport) {}
+        FailoverStateStoreTransport stateStoreTransport,
+        LaunchCounters launchCounters) {}
--- a/src/main/java/notchpick/coordination/leader/allocation/ResourceLeases.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/ResourceLeases.java
@@ -3,8 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import notchpick.coordination.Deployment;
-import notchpick.coordination.Deployment.Quota;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.LaunchGuard;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.coordination.membership.PeerClient;
 import notchpick.coordination.membership.PeerRegistry;
@@ -15,7 +15,6 @@
 import notchpick.protocol.peer.Grant;
 import notchpick.protocol.peer.Placed;
 import notchpick.protocol.peer.Placements;
-import notchpick.scheduling.JobSpec;
 import notchpick.scheduling.Resources;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,6 +42,7 @@
     private final Deployment deployment;
     private final ClusterState cluster;
     private final PeerClient peerClient;
+    private final LaunchGuard launchGuard;
     private final Listener listener;
     private final long leaseMs;
     private final LeaseHolderSelector holderSelector;
@@ -51,11 +51,17 @@
     private long lastNumber;
 
     public ResourceLeases(
-            TermContext context, Tuning tuning, PeerRegistry peers, PeerClient peerClient, Listener listener) {
+            TermContext context,
+            Tuning tuning,
+            PeerRegistry peers,
+            PeerClient peerClient,
+            LaunchGuard launchGuard,
+            Listener listener) {
         this.context = context;
         this.deployment = context.deployment();
         this.cluster = context.cluster();
         this.peerClient = peerClient;
+        this.launchGuard = launchGuard;
         this.listener = listener;
         this.leaseMs = tuning.resourceLeaseMs();
         this.holderSelector = new LeaseHolderSelector(context, peers::livePeers);
@@ -167,19 +173,12 @@
     }
 
     /**
-     * Whether the task may be launched on the machine now. Checks the current state, as it may have changed since the
+     * Whether the task may be placed on the machine now. Checks the current state, as it may have changed since the
      * lease was granted.
      */
     private boolean isAdmissible(Job job, Machine machine, long nowMs) {
-        JobSpec spec = job.spec();
-        Quota quota = deployment.quota(spec.team());
-        return !job.isBlocked()
-                && machine.isSchedulable(nowMs, context.heartbeatPeriodMs())
-                && spec.demand().fitsIn(machine.freeResources())
-                && spec.allows(machine.type(), machine.zone(), machine.isSpot())
-                && (!spec.hasZoneConstraint()
-                        || spec.allowsZoneAmongTasks(machine.zone(), cluster.tasksByZone(spec.id())))
-                && quota != null
-                && quota.allows(cluster.usage(spec.team()).plus(spec.demand()));
+        return machine.isSchedulable(nowMs, context.heartbeatPeriodMs())
+                && job.spec().demand().fitsIn(machine.freeResources())
+                && launchGuard.refusalOfPlacement(job, machine).isEmpty();
     }
 }
--- a/src/main/java/notchpick/coordination/leader/heartbeat/CommandPlanner.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/CommandPlanner.java
@@ -2,6 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import notchpick.coordination.leader.heartbeat.HeartbeatHandler.AllocationRounds;
+import notchpick.coordination.leader.term.LaunchGuard;
+import notchpick.coordination.leader.term.LaunchGuard.Refusal;
 import notchpick.coordination.leader.term.LeaderAuthority;
 import notchpick.model.ClusterState;
 import notchpick.model.Job;
@@ -20,14 +24,19 @@
 final class CommandPlanner {
     private final ClusterState cluster;
     private final LeaderAuthority authority;
+    private final LaunchGuard launchGuard;
+    private final AllocationRounds rounds;
 
-    CommandPlanner(ClusterState cluster, LeaderAuthority authority) {
+    CommandPlanner(ClusterState cluster, LeaderAuthority authority, LaunchGuard launchGuard, AllocationRounds rounds) {
         this.cluster = cluster;
         this.authority = authority;
+        this.launchGuard = launchGuard;
+        this.rounds = rounds;
     }
 
     /**
-     * Returns the commands that are due on the machine, and marks the launches among them as sent.
+     * Returns the commands that are due on the machine, and marks the launches among them as sent. Launches that are
+     * not permitted any more are withdrawn.
      *
      * @param reported the tasks in the heartbeat that the reply belongs to
      */
@@ -65,9 +74,16 @@
         }
     }
 
-    private static void addLaunches(Machine machine, List<TaskCommand> commands) {
-        for (TaskAssignment assignment : machine.assignments()) {
-            if (assignment.phase() == Phase.DURABLE) {
+    private void addLaunches(Machine machine, List<TaskCommand> commands) {
+        List<TaskAssignment> due = machine.assignments().stream()
+                .filter(assignment -> assignment.phase() == Phase.DURABLE)
+                .toList();
+        for (TaskAssignment assignment : due) {
+            Optional<Refusal> refusal = launchGuard.refusalOfStart(assignment);
+            if (refusal.isPresent()) {
+                launchGuard.withdraw(assignment, refusal.get());
+                rounds.request();
+            } else {
                 assignment.markLaunchSent();
                 commands.add(new StartTask(assignment.taskName(), assignment.attempt()));
             }
--- a/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatHandler.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import notchpick.coordination.leader.term.LaunchGuard;
 import notchpick.coordination.leader.term.LeaderAuthority;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.Machine;
@@ -13,6 +14,7 @@
 import notchpick.protocol.Json;
 import notchpick.protocol.WorkerProtocol;
 import notchpick.protocol.WorkerProtocol.Heartbeat;
+import notchpick.protocol.WorkerProtocol.StartTask;
 import notchpick.protocol.WorkerProtocol.TaskCommand;
 import notchpick.protocol.WorkerProtocol.TaskPhase;
 import notchpick.protocol.WorkerProtocol.TaskStatus;
@@ -42,6 +44,7 @@
 
     private final TermContext context;
     private final LeaderAuthority authority;
+    private final LaunchGuard launchGuard;
     private final AllocationRounds rounds;
     private final HeartbeatValidator validator;
     private final HeartbeatReconciler reconciler;
@@ -65,15 +68,17 @@
     public HeartbeatHandler(
             TermContext context,
             LeaderAuthority authority,
+            LaunchGuard launchGuard,
             MachineHealthMonitor health,
             TaskJournal journal,
             AllocationRounds rounds) {
         this.context = context;
         this.authority = authority;
+        this.launchGuard = launchGuard;
         this.rounds = rounds;
         this.validator = new HeartbeatValidator(context.cluster(), authority, context.term());
         this.reconciler = new HeartbeatReconciler(context, health, journal);
-        this.planner = new CommandPlanner(context.cluster(), authority);
+        this.planner = new CommandPlanner(context.cluster(), authority, launchGuard, rounds);
     }
 
     /** Processes a worker's heartbeat; the reply is given immediately or after a delay. */
@@ -185,6 +190,7 @@
             return;
         }
         List<TaskCommand> commands = planner.planCommands(machine, waiting.tasks);
+        commands.removeIf(command -> command instanceof StartTask start && !launchGuard.verifyStart(machine, start));
         if (!commands.isEmpty()) {
             LOG.debug("commands sent: machine={} count={}", machine.name(), commands.size());
         }
--- a/src/main/java/notchpick/scheduling/JobSpec.java
+++ b/src/main/java/notchpick/scheduling/JobSpec.java
@@ -310,12 +310,13 @@
     }
 
     /**
-     * Whether colocation and spreading allow one more task in this zone.
+     * Whether colocation and spreading allow one more task in this zone. While tasks of a colocated job are, or may be,
+     * in several zones, no zone is allowed, as any of them may be the one where tasks really run.
      *
      * @param tasksByZone the number of the job's tasks that are, or may be, in each zone
      */
     public boolean allowsZoneAmongTasks(String taskZone, Map<String, Integer> tasksByZone) {
-        if (colocated && !tasksByZone.isEmpty() && !tasksByZone.containsKey(taskZone)) {
+        if (colocated && !tasksByZone.keySet().stream().allMatch(taskZone::equals)) {
             return false;
         }
         return !spread || tasksByZone.getOrDefault(taskZone, 0) < maxTasksPerZone();
--- a/src/test/java/notchpick/coordination/leader/allocation/ResourceAllocatorTest.java
+++ b/src/test/java/notchpick/coordination/leader/allocation/ResourceAllocatorTest.java
@@ -12,6 +12,8 @@
 import notchpick.coordination.Deployment.Quota;
 import notchpick.coordination.TestDeployments;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.LaunchCounters;
+import notchpick.coordination.leader.term.LaunchGuard;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.coordination.membership.LinkMonitor;
 import notchpick.coordination.membership.LocalStatus;
@@ -91,8 +93,9 @@
     private final MachineTypeCatalog machineTypes = new MachineTypeCatalog();
     private final TermContext context =
             new TermContext(TERM, loop, loop, deployment, cluster, machineTypes, new RuntimeEstimator());
-    private final ResourceLeases leases =
-            new ResourceLeases(context, Tuning.DEFAULT, peerRegistry, peerClient, new ResourceLeases.Listener() {
+    private final LaunchGuard launchGuard = new LaunchGuard(context, new LaunchCounters());
+    private final ResourceLeases leases = new ResourceLeases(
+            context, Tuning.DEFAULT, peerRegistry, peerClient, launchGuard, new ResourceLeases.Listener() {
                 @Override
                 public void taskPlaced(TaskAssignment assignment) {
                     placedTasks.add(assignment);
--- a/src/test/java/notchpick/simulation/InvariantChecker.java
+++ b/src/test/java/notchpick/simulation/InvariantChecker.java
@@ -43,6 +43,7 @@
 
     private final DoneStateChecker doneStates = new DoneStateChecker();
     private final List<String> violations = new ArrayList<>();
+    private LongSupplier withheldStarts = () -> 0;
     private int starts;
     private int tasksKilledByLeaseExpiry;
     private long lastStartAtMs;
@@ -60,10 +61,18 @@
         this.cancellations = new CancellationChecker(clock, cancelTimeoutMs);
     }
 
+    /** Sets the source of the number of start commands that controllers have withheld as violations. */
+    void setWithheldStarts(LongSupplier source) {
+        withheldStarts = source;
+    }
+
     /** The rule violations so far, one line each. */
     public List<String> violations() {
         List<String> all = new ArrayList<>(violations);
         running.keySet().forEach(task -> checkCancelledTaskStopped(task, all));
+        if (withheldStarts.getAsLong() > 0) {
+            all.add("start_withheld: " + withheldStarts.getAsLong() + " starts, each logged as an error by its leader");
+        }
         return all;
     }
 
--- a/src/test/java/notchpick/simulation/SimulatedCluster.java
+++ b/src/test/java/notchpick/simulation/SimulatedCluster.java
@@ -93,6 +93,7 @@
             network.addToZone(nodes.get(i), ClusterConfig.ZONES.get(i % ClusterConfig.ZONES.size()));
         }
         users.setCancellationListener(cancellationCircumstances);
+        invariants.setWithheldStarts(controllers::withheldStarts);
         stateStore.setPutListener(StateKeys.LEADER, users::onLeaderElected);
         occurrences.setExternalCounter(Occurrence.WRITE_APPLIED_WITHOUT_ANSWER, stateStore::appliedWithoutAnswer);
         occurrences.setExternalCounter(Occurrence.PACKET_DELAYED, network::delayedPackets);
--- a/src/test/java/notchpick/simulation/SimulatedControllers.java
+++ b/src/test/java/notchpick/simulation/SimulatedControllers.java
@@ -11,6 +11,7 @@
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Deployment.Peer;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.LaunchCounters;
 import notchpick.scheduling.ServiceObjectives;
 import notchpick.scheduling.ServiceObjectives.Kind;
 import notchpick.scheduling.ServiceObjectives.Objective;
@@ -38,6 +39,7 @@
 
     private final Map<String, Long> frozenUntilMs = new HashMap<>();
     private final Map<String, String> aliases = new HashMap<>();
+    private final List<LaunchCounters> launchCounters = new ArrayList<>();
     private int lastTermEndedByCrash;
 
     SimulatedControllers(
@@ -87,6 +89,16 @@
         return lastTermEndedByCrash;
     }
 
+    /** How many start commands the controllers have withheld because they violated an invariant. */
+    long withheldStarts() {
+        return launchCounters.stream().mapToLong(LaunchCounters::violations).sum();
+    }
+
+    /** How many launches the controllers have withdrawn before their start command was sent. */
+    public long withdrawnLaunches() {
+        return launchCounters.stream().mapToLong(LaunchCounters::withdrawn).sum();
+    }
+
     boolean isRunning(String node) {
         return generations.get(node) % 2 == 1;
     }
@@ -111,6 +123,7 @@
                 Tuning.DEFAULT,
                 network.callerOf(node, () -> generations.get(node) == generation),
                 new Random(7L * index + generation));
+        launchCounters.add(controller.launchCounters());
         network.serve(userAddresses.get(node), node, controller::serve);
         network.serve(peerAddress(index), node, controller::servePeer);
         controller.tell(new Controller.Begin());
