Soak: real controller processes under random faults, on loopback

Every message to or from one passes through the simulated network, so its cuts, delays and held packets apply to real processes; a crash kills the process, a pause stops it. Workers, users, cloud and state store are the simulated ones, at the pace of the real clock, and the invariant checker judges by what workers and users see. SimulatedControllers hands the processes to a ControllerRunner; in simulated time nothing changes.

--- a/src/test/java/notchpick/ConstrainedJobs.java
+++ b/src/test/java/notchpick/ConstrainedJobs.java
@@ -44,12 +44,16 @@
                 new Quota("b", Resources.NONE, Resources.NONE));
     }
 
-    /** Sets the capacity of the cloud, so that some jobs have to wait for machines. */
-    static void offerMachines(SimulatedCluster cluster) {
+    /**
+     * Sets the capacity of the cloud, so that some jobs have to wait for machines.
+     *
+     * @param scale multiplies the capacity
+     */
+    static void offerMachines(SimulatedCluster cluster, int scale) {
         for (String zone : List.of("east", "west")) {
-            cluster.setCapacity("m8", zone, true, MACHINES_PER_POOL);
-            cluster.setCapacity("m8", zone, false, 2);
-            cluster.setCapacity("g8", zone, true, 2);
+            cluster.setCapacity("m8", zone, true, scale * MACHINES_PER_POOL);
+            cluster.setCapacity("m8", zone, false, scale * 2);
+            cluster.setCapacity("g8", zone, true, scale * 2);
         }
     }
 
@@ -59,16 +63,20 @@
                 ClusterConfig.machineType("m8", 2), ClusterConfig.machineType("g8", new Resources(16, 2, 64), 3));
     }
 
-    /** Submits all jobs, the arrays several times one after another; returns their ids. */
-    static List<String> submit(SimulatedCluster cluster) {
+    /**
+     * Submits all jobs, the arrays several times one after another; returns their ids.
+     *
+     * @param scale multiplies the number of rounds, which then follow each other faster
+     */
+    static List<String> submit(SimulatedCluster cluster, int scale) {
         List<String> jobs = new ArrayList<>();
         for (int i = 0; i < SERVICES.size(); i++) {
             jobs.add(submitLater(cluster, String.format("run-04%04d", i), SERVICES.get(i), 0));
         }
-        for (int round = 0; round < ROUNDS; round++) {
+        for (int round = 0; round < scale * ROUNDS; round++) {
             for (int i = 0; i < ARRAYS.size(); i++) {
                 String job = String.format("run-05%02d%02d", round, i);
-                jobs.add(submitLater(cluster, job, ARRAYS.get(i), round * ROUND_INTERVAL_MS));
+                jobs.add(submitLater(cluster, job, ARRAYS.get(i), round * ROUND_INTERVAL_MS / scale));
             }
         }
         return jobs;
--- a/src/test/java/notchpick/FaultRun.java
+++ b/src/test/java/notchpick/FaultRun.java
@@ -53,6 +53,8 @@
     private final List<String> eventLog = new ArrayList<>();
     private final Random random;
     private final SimulatedCluster cluster;
+    private final WorkerTiming timing;
+    private long longestFaultMs = Long.MAX_VALUE;
     private int wideJobs;
     private int smallJobs;
 
@@ -69,28 +71,58 @@
     }
 
     private FaultRun(int seed, int controllers, WorkerTiming timing, List<Quota> teams, List<MachineType> types) {
-        random = new Random(seed);
-        cluster = new SimulatedCluster(ClusterConfig.builder()
+        this(seed, timing, new SimulatedCluster(config(controllers, timing, teams, types)));
+    }
+
+    private FaultRun(int seed, WorkerTiming timing, SimulatedCluster cluster) {
+        this.random = new Random(seed);
+        this.timing = timing;
+        this.cluster = cluster;
+    }
+
+    private static ClusterConfig config(
+            int controllers, WorkerTiming timing, List<Quota> teams, List<MachineType> types) {
+        return ClusterConfig.builder()
                 .controllers(controllers)
                 .teams(teams)
                 .machineTypes(types)
                 .requestsPerS(500)
                 .writesPerS(150)
                 .timing(timing)
-                .build());
+                .build();
+    }
+
+    /** The configuration of a cluster for {@link ConstrainedJobs}. */
+    static ClusterConfig configForConstrainedJobs(int controllers, WorkerTiming timing) {
+        return config(controllers, timing, ConstrainedJobs.teams(), ConstrainedJobs.machineTypes());
     }
 
     /** Creates a cluster whose jobs restrict where their tasks may run, and runs it until faults may begin. */
     static FaultRun withConstrainedJobs(int seed, int controllers, WorkerTiming timing) {
-        FaultRun run = new FaultRun(seed, controllers, timing, ConstrainedJobs.teams(), ConstrainedJobs.machineTypes());
-        ConstrainedJobs.offerMachines(run.cluster);
+        FaultRun run = new FaultRun(seed, timing, new SimulatedCluster(configForConstrainedJobs(controllers, timing)));
+        ConstrainedJobs.offerMachines(run.cluster, 1);
         run.cluster.time().runUntil(3000);
-        ConstrainedJobs.submit(run.cluster);
+        ConstrainedJobs.submit(run.cluster, 1);
         run.cluster.time().runUntil(15_000);
         run.cluster.users().setReadAfterEachChange(true);
         return run;
     }
 
+    /**
+     * Creates a run on a cluster that the caller has started.
+     *
+     * @param longestFaultMs no fault that lasts for a random time lasts longer
+     */
+    static FaultRun on(SimulatedCluster cluster, int seed, WorkerTiming timing, long longestFaultMs) {
+        FaultRun run = new FaultRun(seed, timing, cluster);
+        run.longestFaultMs = longestFaultMs;
+        return run;
+    }
+
+    WorkerTiming timing() {
+        return timing;
+    }
+
     /** Submits the jobs and runs the cluster until faults may begin. */
     void start(Transcript transcript) throws InvalidMessageException {
         cluster.record(transcript);
@@ -190,11 +222,12 @@
     /** Injects the fault at the leader, or at any controller if there is no leader, for a random time. */
     void inject(Fault fault) {
         String leader = controllers().leader().orElseGet(this::anyNode);
-        long durationMs = switch (random.nextInt(3)) {
+        long randomMs = switch (random.nextInt(3)) {
             case 0 -> between(1000, 8000);
             case 1 -> between(8000, 30_000);
             default -> between(30_000, 70_000);
         };
+        long durationMs = Math.min(randomMs, longestFaultMs);
         log(fault + " " + leader + " for " + durationMs / 1000.0);
         fault.inject(this, leader, durationMs);
     }
--- a/src/test/java/notchpick/simulation/SimulatedCluster.java
+++ b/src/test/java/notchpick/simulation/SimulatedCluster.java
@@ -17,6 +17,13 @@
  * the faults that affect more than one of them.
  */
 public final class SimulatedCluster {
+    /** Creates what runs the controllers of a deployment. */
+    @FunctionalInterface
+    public interface ControllerRunnerFactory {
+        /** Creates a runner whose controllers exchange messages over this network. */
+        ControllerRunner create(SimulatedTime time, SimulatedNetwork network);
+    }
+
     static final String STATE_ADDRESS = "10.2.0.1:2379";
     static final String CLOUD_ADDRESS = "10.2.0.2:8443";
 
@@ -24,8 +31,8 @@
     private static final int RANDOM_SEED = 11;
 
     private final ClusterConfig config;
-    private final SimulatedTime time = new SimulatedTime();
-    private final SimulatedNetwork network = new SimulatedNetwork(time);
+    private final SimulatedTime time;
+    private final SimulatedNetwork network;
     private final JobGroundTruth jobs = new JobGroundTruth();
     private final OccurrenceCounters occurrences = new OccurrenceCounters();
     private final InvariantChecker invariants;
@@ -41,7 +48,14 @@
 
     /** Creates the deployment and starts all controllers; scheduled work runs only when the time is advanced. */
     public SimulatedCluster(ClusterConfig config) {
+        this(config, new SimulatedTime(), InProcessControllers::new);
+    }
+
+    /** Creates the deployment with controllers that run elsewhere, and starts all controllers. */
+    public SimulatedCluster(ClusterConfig config, SimulatedTime time, ControllerRunnerFactory controllerRunner) {
         this.config = config;
+        this.time = time;
+        this.network = new SimulatedNetwork(time);
         WorkerTiming timing = config.timing();
         Random random = new Random(RANDOM_SEED);
         HttpCaller userCaller = network.callerOf(USER_HOST, () -> true);
@@ -52,7 +66,8 @@
                 config.limits().transactionWrites(),
                 config.requestsPerS(),
                 config.limits().writesPerS());
-        controllers = new SimulatedControllers(config, time, network, stateStore);
+        controllers =
+                new SimulatedControllers(config, time, network, stateStore, controllerRunner.create(time, network));
         users = new SimulatedUsers(time, userCaller, controllers, jobs, invariants, occurrences, random);
         heartbeatDuplicator =
                 new HeartbeatDuplicator(time, random, timing.leaseMs(), controllers, occurrences, userCaller);
--- a/src/test/java/notchpick/simulation/SimulatedControllers.java
+++ b/src/test/java/notchpick/simulation/SimulatedControllers.java
@@ -6,22 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
-import notchpick.app.Controller;
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Deployment.Peer;
-import notchpick.coordination.Tuning;
-import notchpick.coordination.leader.term.LaunchCounters;
 import notchpick.scheduling.ServiceObjectives;
 import notchpick.scheduling.ServiceObjectives.Kind;
 import notchpick.scheduling.ServiceObjectives.Objective;
 import notchpick.storage.StateKeys;
-import notchpick.transport.EventLoop;
 
 /** The processes of the real controllers, which tests start, crash, freeze and power off. */
 public final class SimulatedControllers {
-    private static final double FAST_CLOCK_PERCENT = 0.05;
-    private static final double SLOW_CLOCK_PERCENT = -0.05;
     private static final int CLOUD_REQUESTS_PER_S = 10;
     private static final int MAX_CONNECTIONS = 1000;
 
@@ -29,6 +22,7 @@
     private final SimulatedTime time;
     private final SimulatedNetwork network;
     private final SimulatedStateStore stateStore;
+    private final ControllerRunner runner;
     private final List<String> nodes = new ArrayList<>();
     private final Map<String, String> userAddresses = new LinkedHashMap<>();
     /**
@@ -37,14 +31,17 @@
      */
     private final Map<String, Integer> generations = new HashMap<>();
 
-    private final Map<String, Long> frozenUntilMs = new HashMap<>();
     private final Map<String, String> aliases = new HashMap<>();
-    private final List<LaunchCounters> launchCounters = new ArrayList<>();
     private int lastTermEndedByCrash;
 
     SimulatedControllers(
-            ClusterConfig config, SimulatedTime time, SimulatedNetwork network, SimulatedStateStore stateStore) {
+            ClusterConfig config,
+            SimulatedTime time,
+            SimulatedNetwork network,
+            SimulatedStateStore stateStore,
+            ControllerRunner runner) {
         this.config = config;
+        this.runner = runner;
         this.time = time;
         this.network = network;
         this.stateStore = stateStore;
@@ -91,12 +88,12 @@
 
     /** How many start commands the controllers have withheld because they violated an invariant. */
     long withheldStarts() {
-        return launchCounters.stream().mapToLong(LaunchCounters::violations).sum();
+        return runner.withheldStarts();
     }
 
     /** How many launches the controllers have withdrawn before their start command was sent. */
     public long withdrawnLaunches() {
-        return launchCounters.stream().mapToLong(LaunchCounters::withdrawn).sum();
+        return runner.withdrawnLaunches();
     }
 
     boolean isRunning(String node) {
@@ -117,31 +114,10 @@
     void start(String node) {
         int index = nodes.indexOf(node);
         int generation = generations.merge(node, 1, Integer::sum);
-        Controller controller = new Controller(
-                eventLoop(node, generation),
-                deployment(node, generation == 1),
-                Tuning.DEFAULT,
-                network.callerOf(node, () -> generations.get(node) == generation),
-                new Random(7L * index + generation));
-        launchCounters.add(controller.launchCounters());
-        network.serve(userAddresses.get(node), node, controller::serve);
-        network.serve(peerAddress(index), node, controller::servePeer);
-        controller.tell(new Controller.Begin());
-    }
-
-    /** The first controller's clock runs as fast as the settings allow, and the second one's as slow. */
-    private EventLoop eventLoop(String node, int generation) {
-        int index = nodes.indexOf(node);
-        double fastPercent = switch (index) {
-            case 0 -> FAST_CLOCK_PERCENT;
-            case 1 -> SLOW_CLOCK_PERCENT;
-            default -> 0;
-        };
-        return time.newEventLoop(
-                fastPercent,
-                index * 100L - 100,
-                () -> generations.get(node) == generation,
-                () -> frozenUntilMs.getOrDefault(node, 0L));
+        ControllerRunner.Started started = runner.start(new ControllerRunner.ProcessStart(
+                node, index, generation, deployment(node, generation == 1), () -> generations.get(node) == generation));
+        network.serve(userAddresses.get(node), node, started.clients());
+        network.serve(peerAddress(index), node, started.peers());
     }
 
     private Deployment deployment(String node, boolean isFirstStart) {
@@ -181,6 +157,7 @@
             lastTermEndedByCrash = term();
         }
         generations.merge(node, 1, Integer::sum);
+        runner.kill(node);
         network.stopServing(userAddresses.get(node));
         network.stopServing(peerAddress(nodes.indexOf(node)));
     }
@@ -204,7 +181,7 @@
     /** Pauses the process while its clocks keep running; messages to it wait until it resumes. */
     public void freeze(String node, long durationMs) {
         long untilMs = time.nowMs() + durationMs;
-        frozenUntilMs.put(node, untilMs);
+        runner.pause(node, durationMs);
         network.freeze(node, untilMs);
     }
 }
--- a/src/test/java/notchpick/simulation/SimulatedTime.java
+++ b/src/test/java/notchpick/simulation/SimulatedTime.java
@@ -16,9 +16,29 @@
 
     private final PriorityQueue<ScheduledWork> queue = new PriorityQueue<>(
             Comparator.comparingLong(ScheduledWork::dueMs).thenComparingLong(ScheduledWork::sequence));
+    private final RealTime realTime;
     private long nowMs;
     private long sequence;
 
+    /** Lets a simulation run at the pace of a real clock, together with work of other threads. */
+    public interface RealTime {
+        /** The milliseconds since the start of the simulation. */
+        long elapsedMs();
+
+        /** Waits briefly for work of other threads and returns it; null if there is none. */
+        Runnable awaitWork() throws InterruptedException;
+    }
+
+    /** Creates a simulation that never waits. */
+    public SimulatedTime() {
+        this(null);
+    }
+
+    /** Creates a simulation that runs at the pace of a real clock. */
+    public SimulatedTime(RealTime realTime) {
+        this.realTime = realTime;
+    }
+
     /** Milliseconds since the start of the simulation. */
     public long nowMs() {
         return nowMs;
@@ -31,6 +51,25 @@
 
     /** Advances the time and runs all work that falls due. */
     public void runUntil(long endMs) {
+        if (realTime == null) {
+            runDue(endMs);
+            return;
+        }
+        try {
+            while (nowMs < endMs) {
+                runDue(Math.max(nowMs, Math.min(endMs, realTime.elapsedMs())));
+                Runnable work = realTime.awaitWork();
+                if (work != null) {
+                    work.run();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted at " + nowMs, e);
+        }
+    }
+
+    private void runDue(long endMs) {
         while (!queue.isEmpty() && queue.peek().dueMs() <= endMs) {
             ScheduledWork next = queue.poll();
             nowMs = next.dueMs();
