Recovery: a second attempt of a completed task still counts in its zone

What callers would see: after a failover, a task of a one-zone or spread job starts in a zone that its job does not allow. A task completes on a machine whose report arrives late, while a second attempt is fetching its image elsewhere; the leader ends; the next one skipped the launch records of completed tasks, so it did not count that attempt, placed others of the job in another zone, and the attempt started when its image was there.

Shown for the leader's state: secondAttemptOfCompletedTaskStillCountsInItsZone failed before ({west=1} in place of {east=1, west=1}).

Now such records are loaded for jobs with oneZone or apart. For other jobs nothing changes, as most records of completed tasks are only not rewritten yet, and would hold room that is free.

--- a/src/main/java/notchpick/coordination/leader/allocation/TaskLaunchLog.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/TaskLaunchLog.java
@@ -90,7 +90,7 @@
                 Machine machine = cluster.machineOrAdd(launch.machine(), name -> readyMachine(launch));
                 machine.markFormerLeaderLaunches();
                 Job job = cluster.job(launch.job().id());
-                if (job == null || !job.isTaskDone(launch.task())) {
+                if (canBeOnMachine(job, launch.task())) {
                     JobSpec spec = job == null ? launch.job() : job.spec();
                     loaded.add(cluster.assign(spec, launch.task(), machine, launch.attempt(), Phase.INHERITED));
                 }
@@ -99,6 +99,14 @@
         }
     }
 
+    /**
+     * Whether a recorded task holds its place. A completed task may have a second attempt that has not started yet; it
+     * must still be counted if the zones of the job's tasks matter.
+     */
+    private static boolean canBeOnMachine(Job job, int task) {
+        return job == null || !job.isTaskDone(task) || job.spec().hasZoneConstraint();
+    }
+
     private Machine readyMachine(LaunchRecord launch) {
         long nowMs = context.nowMs();
         Machine machine = new Machine(
