Logs: what a leader has read, inherited, adopted, permitted and given up

Lines at level info that the incident of the wrong place lacked: each listing at recovery with its revision and duration, inherited launches with the zones of jobs for which zones matter, adopted tasks, tasks that are not on their worker, tasks of released machines, and for jobs with oneZone or apart the zones of the other tasks with which a start was permitted.

--- a/src/main/java/notchpick/coordination/leader/Leader.java
+++ b/src/main/java/notchpick/coordination/leader/Leader.java
@@ -190,8 +190,9 @@
     private void recovered(long openJobsRevision) {
         authority.markRecovered();
         log.info(
-                "recovery completed: term={} jobs={} machines={}",
+                "recovery completed: term={} openJobsRevision={} jobs={} machines={}",
                 context.term(),
+                openJobsRevision,
                 cluster.jobs().size(),
                 cluster.machines().size());
         jobs.watch(openJobsRevision);
@@ -249,6 +250,12 @@
     }
 
     private void machineGone(Machine machine) {
+        machine.assignments()
+                .forEach(assignment -> log.info(
+                        "task lost: task={} machine={} zone={} reason=\"machine released\"",
+                        assignment.taskName(),
+                        machine.name(),
+                        machine.zone()));
         cluster.unassignAll(machine);
         heartbeats.refuse(machine);
         rounds.request();
--- a/src/main/java/notchpick/coordination/leader/LeaderRecovery.java
+++ b/src/main/java/notchpick/coordination/leader/LeaderRecovery.java
@@ -19,6 +19,8 @@
 import notchpick.storage.FencedWriter;
 import notchpick.storage.ReleasedMachinesCodec;
 import notchpick.storage.StateKeys;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the state that a former leader left, one kind of record after another. Open jobs are read first, so that each
@@ -26,6 +28,7 @@
  * finished and that no event would trigger again.
  */
 final class LeaderRecovery {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderRecovery.class);
     private static final long RETRY_MS = 200;
 
     private final TermContext context;
@@ -97,6 +100,13 @@
                 prefix,
                 result -> context.timer().schedule(0, () -> {
                     if (result instanceof Ok<Listing> ok) {
+                        LOG.info(
+                                "records read: prefix={} entries={} revision={} readMs={} term={}",
+                                prefix,
+                                ok.value().entries().size(),
+                                ok.value().revision(),
+                                context.nowMs() - sentAtMs,
+                                context.term());
                         then.accept(ok.value(), sentAtMs);
                     } else {
                         context.timer().schedule(RETRY_MS, () -> list(prefix, then));
--- a/src/main/java/notchpick/coordination/leader/allocation/TaskLaunchLog.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/TaskLaunchLog.java
@@ -1,5 +1,6 @@
 package notchpick.coordination.leader.allocation;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,6 +22,8 @@
 import notchpick.storage.PackedRecords;
 import notchpick.storage.Preconditions;
 import notchpick.storage.StateKeys;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Records durably which tasks may be on which machines. A launch command is sent only once its record is durable. */
 public final class TaskLaunchLog {
@@ -33,6 +36,8 @@
         void jobsFoundEnded(List<String> jobs);
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(TaskLaunchLog.class);
+
     private final TermContext context;
     private final ClusterState cluster;
     private final FencedWriter writer;
@@ -83,6 +88,7 @@
      * and are not launched again.
      */
     public void load(Listing listing) {
+        List<TaskAssignment> inherited = new ArrayList<>();
         for (Entry entry : listing.entries()) {
             writer.recordVersion(entry.key(), entry.version());
             Set<TaskAssignment> loaded = new LinkedHashSet<>();
@@ -96,7 +102,28 @@
                 }
             }
             records.load(entry.key(), loaded);
+            inherited.addAll(loaded);
         }
+        logInherited(listing, inherited);
+    }
+
+    private void logInherited(Listing listing, List<TaskAssignment> inherited) {
+        LOG.info(
+                "launches inherited: term={} revision={} pages={} tasks={}",
+                context.term(),
+                listing.revision(),
+                listing.entries().size(),
+                inherited.size());
+        inherited.stream()
+                .map(TaskAssignment::spec)
+                .filter(JobSpec::hasZoneConstraint)
+                .map(JobSpec::id)
+                .distinct()
+                .forEach(id -> LOG.info(
+                        "launches inherited: term={} job={} tasksByZone={}",
+                        context.term(),
+                        id,
+                        cluster.tasksByZone(id)));
     }
 
     /**
--- a/src/main/java/notchpick/coordination/leader/heartbeat/CommandPlanner.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/CommandPlanner.java
@@ -84,6 +84,7 @@
                 launchGuard.withdraw(assignment, refusal.get());
                 rounds.request();
             } else {
+                launchGuard.logZones(assignment);
                 assignment.markLaunchSent();
                 commands.add(new StartTask(assignment.taskName(), assignment.attempt()));
             }
--- a/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatReconciler.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatReconciler.java
@@ -24,6 +24,7 @@
     private final ClusterState cluster;
     private final RuntimeEstimator runtimes;
     private final long heartbeatPeriodMs;
+    private final long term;
     private final MachineHealthMonitor health;
     private final TaskJournal journal;
 
@@ -31,6 +32,7 @@
         this.cluster = context.cluster();
         this.runtimes = context.runtimes();
         this.heartbeatPeriodMs = context.heartbeatPeriodMs();
+        this.term = context.term();
         this.health = health;
         this.journal = journal;
     }
@@ -147,6 +149,15 @@
             return null;
         }
         TaskAssignment adopted = cluster.assign(job.spec(), status.task(), machine, status.attempt(), Phase.REPORTED);
+        LOG.info(
+                "task adopted: task={} attempt={} machine={} zone={} incarnation={} sequence={} term={}",
+                adopted.taskName(),
+                adopted.attempt(),
+                machine.name(),
+                machine.zone(),
+                machine.incarnation(),
+                machine.sequence(),
+                term);
         journal.recordAdoption(adopted);
         return adopted;
     }
@@ -172,6 +183,15 @@
             // This also holds for a former leader's command: the worker has seen this term and drops commands of
             // earlier terms.
             if (!present.contains(assignment) && assignment.canBeOnWorker()) {
+                LOG.info(
+                        "task not on its worker: task={} attempt={} machine={} zone={} phase={} sequence={} term={}",
+                        assignment.taskName(),
+                        assignment.attempt(),
+                        machine.name(),
+                        machine.zone(),
+                        assignment.phase(),
+                        machine.sequence(),
+                        term);
                 cluster.unassign(assignment);
                 dropped = true;
             }
--- a/src/main/java/notchpick/coordination/leader/term/LaunchGuard.java
+++ b/src/main/java/notchpick/coordination/leader/term/LaunchGuard.java
@@ -93,6 +93,18 @@
         cluster.unassign(assignment);
     }
 
+    /** Logs the zones of the other tasks with which a permitted start was judged, if the job restricts zones. */
+    public void logZones(TaskAssignment assignment) {
+        if (assignment.spec().hasZoneConstraint()) {
+            LOG.info(
+                    "launch permitted: task={} attempt={} {} term={}",
+                    assignment.taskName(),
+                    assignment.attempt(),
+                    describe(assignment),
+                    context.term());
+        }
+    }
+
     /**
      * Asserts, just before a start command is sent, that it is recorded as sent and permitted. Returns false, and logs
      * an error, if it must be withheld.
