Heartbeats: a machine is where its worker says, and unknown places are refused

A machine's type, zone and kind were those of the first source that named it (rental, list, launch record, heartbeat), and never compared with its worker. If they differed, each check of place asked the wrong record.

Now the worker's word is taken up, with one WARN line; launches that its place does not allow are withdrawn when they are due. A heartbeat with a type that the cloud does not offer, or a zone that neither the settings nor the type name, gets 400 and changes nothing. Starts and stops that are sent are logged with the machine's type, zone and kind, in place of a count at level debug.

--- a/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatHandler.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatHandler.java
@@ -15,6 +15,7 @@
 import notchpick.protocol.WorkerProtocol;
 import notchpick.protocol.WorkerProtocol.Heartbeat;
 import notchpick.protocol.WorkerProtocol.StartTask;
+import notchpick.protocol.WorkerProtocol.StopTask;
 import notchpick.protocol.WorkerProtocol.TaskCommand;
 import notchpick.protocol.WorkerProtocol.TaskPhase;
 import notchpick.protocol.WorkerProtocol.TaskStatus;
@@ -76,7 +77,7 @@
         this.authority = authority;
         this.launchGuard = launchGuard;
         this.rounds = rounds;
-        this.validator = new HeartbeatValidator(context.cluster(), authority, context.term());
+        this.validator = new HeartbeatValidator(context, authority);
         this.reconciler = new HeartbeatReconciler(context, health, journal);
         this.planner = new CommandPlanner(context.cluster(), authority, launchGuard, rounds);
     }
@@ -85,6 +86,7 @@
     public void receive(Heartbeat heartbeat, Consumer<Response> reply) {
         switch (validator.validate(heartbeat)) {
             case REFUSE -> reply.accept(refusal());
+            case REJECT -> reply.accept(Response.of(HttpStatus.BAD_REQUEST, Json.bytes(Json.object())));
             case SEND_TOKEN -> sendToken(heartbeat, reply);
             case ACCEPT -> accept(heartbeat, reply);
         }
@@ -106,6 +108,7 @@
     private void accept(Heartbeat heartbeat, Consumer<Response> reply) {
         long nowMs = context.nowMs();
         Machine machine = context.cluster().machineOrAdd(heartbeat.machine(), name -> newMachine(heartbeat, nowMs));
+        correctPool(machine, heartbeat);
         // A worker sends its next heartbeat only after it has stopped waiting for the reply to the previous one.
         refuse(machine);
         if (machine.state() == Machine.State.PROVISIONING) {
@@ -134,6 +137,23 @@
         return new Machine(heartbeat.machine(), pool, context.machineTypes().size(heartbeat.type()), nowMs);
     }
 
+    /** Takes up the machine's type, zone and kind from its worker, which knows them best. */
+    private void correctPool(Machine machine, Heartbeat heartbeat) {
+        NodePool reported = new NodePool(heartbeat.type(), heartbeat.zone(), heartbeat.spot());
+        if (machine.pool().equals(reported)) {
+            return;
+        }
+        if (!machine.pool().isUnknown()) {
+            LOG.warn(
+                    "machine is not what was recorded: machine={} recorded={} reported={} term={}",
+                    machine.name(),
+                    machine.pool(),
+                    reported,
+                    context.term());
+        }
+        machine.correctPool(reported, context.machineTypes().size(reported.type()));
+    }
+
     /** Refuses the machine's pending heartbeat, if any; its worker then tries another controller. */
     public void refuse(Machine machine) {
         PendingHeartbeat waiting = pending.remove(machine);
@@ -191,12 +211,43 @@
         }
         List<TaskCommand> commands = planner.planCommands(machine, waiting.tasks);
         commands.removeIf(command -> command instanceof StartTask start && !launchGuard.verifyStart(machine, start));
-        if (!commands.isEmpty()) {
-            LOG.debug("commands sent: machine={} count={}", machine.name(), commands.size());
-        }
+        logCommands(machine, commands);
         waiting.reply.accept(commandsResponse(commands));
     }
 
+    private void logCommands(Machine machine, List<TaskCommand> commands) {
+        if (commands.isEmpty() || !LOG.isInfoEnabled()) {
+            return;
+        }
+        StringBuilder starts = new StringBuilder();
+        StringBuilder stops = new StringBuilder();
+        for (TaskCommand command : commands) {
+            if (command instanceof StartTask) {
+                append(starts, command);
+            } else if (command instanceof StopTask) {
+                append(stops, command);
+            }
+        }
+        if (starts.length() + stops.length() > 0) {
+            LOG.info(
+                    "commands sent: machine={} type={} zone={} spot={} term={} starts=[{}] stops=[{}]",
+                    machine.name(),
+                    machine.type(),
+                    machine.zone(),
+                    machine.isSpot(),
+                    context.term(),
+                    starts,
+                    stops);
+        }
+    }
+
+    private static void append(StringBuilder list, TaskCommand command) {
+        list.append(list.isEmpty() ? "" : " ")
+                .append(command.task())
+                .append('#')
+                .append(command.attempt());
+    }
+
     private static Response refusal() {
         return Response.of(HttpStatus.SERVICE_UNAVAILABLE, Json.bytes(Json.object()));
     }
--- a/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatValidator.java
+++ b/src/main/java/notchpick/coordination/leader/heartbeat/HeartbeatValidator.java
@@ -1,8 +1,11 @@
 package notchpick.coordination.leader.heartbeat;
 
+import java.util.Set;
 import notchpick.coordination.leader.term.LeaderAuthority;
+import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.ClusterState;
 import notchpick.model.Machine;
+import notchpick.model.MachineTypeCatalog;
 import notchpick.protocol.WorkerProtocol.Heartbeat;
 
 /**
@@ -19,18 +22,24 @@
          * the token, and the worker's next heartbeat can be accepted.
          */
         SEND_TOKEN,
+        /** The heartbeat names a machine type or a zone that does not exist; the reply says so, and nothing changes. */
+        REJECT,
         /** The reply is an error, because any other reply could renew a lease that this leader may not renew. */
         REFUSE
     }
 
     private final ClusterState cluster;
+    private final MachineTypeCatalog machineTypes;
+    private final Set<String> zones;
     private final LeaderAuthority authority;
     private final long term;
 
-    HeartbeatValidator(ClusterState cluster, LeaderAuthority authority, long term) {
-        this.cluster = cluster;
+    HeartbeatValidator(TermContext context, LeaderAuthority authority) {
+        this.cluster = context.cluster();
+        this.machineTypes = context.machineTypes();
+        this.zones = Set.copyOf(context.deployment().zones());
         this.authority = authority;
-        this.term = term;
+        this.term = context.term();
     }
 
     /** Decides how to handle the heartbeat; changes no state. */
@@ -41,6 +50,9 @@
                 || cluster.isRemoved(heartbeat.machine())) {
             return Decision.REFUSE;
         }
+        if (!isKnownPlace(heartbeat)) {
+            return Decision.REJECT;
+        }
         Machine machine = cluster.machine(heartbeat.machine());
         if (machine != null && machine.isStale(heartbeat.incarnation(), heartbeat.sequence())) {
             return Decision.REFUSE;
@@ -50,6 +62,11 @@
                 : Decision.ACCEPT;
     }
 
+    private boolean isKnownPlace(Heartbeat heartbeat) {
+        return machineTypes.byName().containsKey(heartbeat.type())
+                && (zones.contains(heartbeat.zone()) || machineTypes.isOffered(heartbeat.type(), heartbeat.zone()));
+    }
+
     /**
      * A worker without a token has executed no command. One may still be in transit to it only if a former leader left
      * a launch record that names the machine.
--- a/src/main/java/notchpick/coordination/leader/scaling/MachineReleaser.java
+++ b/src/main/java/notchpick/coordination/leader/scaling/MachineReleaser.java
@@ -46,8 +46,8 @@
     /** Loads the machines whose release a former leader may have requested, so that they are not used again. */
     void load(List<String> names) {
         for (String name : names) {
-            Machine machine = cluster.machineOrAdd(
-                    name, n -> new Machine(n, new NodePool("", "", false), Resources.NONE, context.nowMs()));
+            Machine machine =
+                    cluster.machineOrAdd(name, n -> new Machine(n, NodePool.UNKNOWN, Resources.NONE, context.nowMs()));
             machine.release();
             machine.markReleaseDurable();
         }
--- a/src/main/java/notchpick/model/Machine.java
+++ b/src/main/java/notchpick/model/Machine.java
@@ -26,8 +26,8 @@
     }
 
     private final String name;
-    private final NodePool pool;
-    private final Resources size;
+    private NodePool pool;
+    private Resources size;
     private final Map<String, TaskAssignment> assignments = new LinkedHashMap<>();
     private final Collection<TaskAssignment> assignmentsView = Collections.unmodifiableCollection(assignments.values());
     private final Set<String> images = new HashSet<>();
@@ -71,6 +71,13 @@
         return pool;
     }
 
+    /** Replaces where the machine was thought to be, and its size, by what its worker has reported. */
+    public void correctPool(NodePool reported, Resources reportedSize) {
+        pool = reported;
+        size = reportedSize;
+        free = size.minus(leased).minus(held);
+    }
+
     @Override
     public String type() {
         return pool.type();
--- a/src/main/java/notchpick/model/MachineTypeCatalog.java
+++ b/src/main/java/notchpick/model/MachineTypeCatalog.java
@@ -29,6 +29,12 @@
         return Collections.unmodifiableCollection(types.values());
     }
 
+    /** Whether the type is known, and offered in the zone. */
+    public boolean isOffered(String type, String zone) {
+        MachineType known = types.get(type);
+        return known != null && known.zones().contains(zone);
+    }
+
     /** The resources of a machine of this type; none if the type is unknown. */
     public Resources size(String type) {
         MachineType known = types.get(type);
--- a/src/test/java/notchpick/coordination/leader/allocation/TaskLaunchLogTest.java
+++ b/src/test/java/notchpick/coordination/leader/allocation/TaskLaunchLogTest.java
@@ -19,6 +19,7 @@
 import notchpick.protocol.StateStoreClient.Listing;
 import notchpick.protocol.StateStoreTransport;
 import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.NodePool;
 import notchpick.scheduling.Resources;
 import notchpick.scheduling.RuntimeEstimator;
 import notchpick.simulation.SimulatedTime;
@@ -76,6 +77,13 @@
         assertEquals(Map.of("east", 1, "west", 1), cluster.tasksByZone("run-000001"));
     }
 
+    @Test
+    void recordsThatContradictEachOtherAreRead() {
+        cluster.addMachine(new Machine("m-000001", new NodePool("g8", "west", false), Resources.NONE, 0));
+        loadWithFirstTaskDone(JobSpec.builder("run-000001").colocated(true));
+        assertEquals(Map.of("west", 2), cluster.tasksByZone("run-000001"));
+    }
+
     @Test
     void recordOfCompletedTaskHoldsNothingIfZonesDoNotMatter() {
         loadWithFirstTaskDone(JobSpec.builder("run-000001"));
--- a/src/test/java/notchpick/coordination/leader/heartbeat/HeartbeatValidatorTest.java
+++ b/src/test/java/notchpick/coordination/leader/heartbeat/HeartbeatValidatorTest.java
@@ -7,11 +7,17 @@
 import notchpick.coordination.TestDeployments;
 import notchpick.coordination.leader.heartbeat.HeartbeatValidator.Decision;
 import notchpick.coordination.leader.term.LeaderAuthority;
+import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.ClusterState;
 import notchpick.model.Machine;
+import notchpick.model.MachineTypeCatalog;
 import notchpick.protocol.WorkerProtocol.Heartbeat;
+import notchpick.scheduling.MachineType;
 import notchpick.scheduling.NodePool;
 import notchpick.scheduling.Resources;
+import notchpick.scheduling.RuntimeEstimator;
+import notchpick.simulation.SimulatedTime;
+import notchpick.transport.EventLoop;
 import org.junit.jupiter.api.Test;
 
 /** Heartbeats are accepted only with the leader's own fencing token, once each, and in order. */
@@ -25,13 +31,29 @@
     private final ClusterState cluster = new ClusterState(ended -> {});
     private final LeaderAuthority authority =
             new LeaderAuthority(() -> nowMs, DEPLOYMENT, LEADER_LEASE_S, LEASE_UNTIL_MS);
-    private final HeartbeatValidator validator = new HeartbeatValidator(cluster, authority, TERM);
+    private final EventLoop loop = new SimulatedTime().newEventLoop(0, 0, () -> true);
+    private final MachineTypeCatalog machineTypes = new MachineTypeCatalog();
+    private final HeartbeatValidator validator = new HeartbeatValidator(
+            new TermContext(TERM, loop, loop, DEPLOYMENT, cluster, machineTypes, new RuntimeEstimator()), authority);
 
     HeartbeatValidatorTest() {
+        machineTypes.update(
+                List.of(new MachineType("m8", new Resources(8, 0, 64), 100, 1, 1, 0.3, 10, List.of("east", "west"))));
         authority.recordCompleteRead(nowMs);
         authority.markRecovered();
     }
 
+    private static Heartbeat heartbeatFrom(String type, String zone) {
+        return new Heartbeat("m-1", "", type, zone, true, 1, 1, TERM, null, List.of());
+    }
+
+    @Test
+    void rejectsUnknownTypesAndZones() {
+        assertEquals(Decision.REJECT, validator.validate(heartbeatFrom("m9", "east")));
+        assertEquals(Decision.REJECT, validator.validate(heartbeatFrom("m8", "north")));
+        assertEquals(Decision.ACCEPT, validator.validate(heartbeatFrom("m8", "west")));
+    }
+
     private static Heartbeat heartbeat(long incarnation, long sequence, long fencingToken) {
         return new Heartbeat("m-1", "", "m8", "east", true, incarnation, sequence, fencingToken, null, List.of());
     }
