--- a/src/test/java/notchpick/simulation/SimulatedNetwork.java
+++ b/src/test/java/notchpick/simulation/SimulatedNetwork.java
@@ -49,6 +49,7 @@
     private final Map<String, Long> frozenUntilMs = new HashMap<>();
 
     private Transcript transcript = Transcript.NONE;
+    private CallRepeater repeater = CallRepeater.NONE;
 
     public SimulatedNetwork(SimulatedTime time) {
         this.time = time;
@@ -116,6 +117,11 @@
         }
     }
 
+    /** Sets which calls arrive at their target a second time; the answers to the copies are dropped. */
+    public void setRepeater(CallRepeater newRepeater) {
+        repeater = newRepeater;
+    }
+
     /** How many packets had an extra delay. */
     public int delayedPackets() {
         return delayedPackets;
@@ -193,6 +199,9 @@
             }
             Runnable reset = () -> answerOnce.accept(Response.UNANSWERED);
             transmit(host, to, () -> serveCall(host, call, answerOnce), reset);
+            repeater.delayMs(host, call)
+                    .ifPresent(delayMs -> time.schedule(
+                            delayMs, () -> transmit(host, to, () -> serveCall(host, call, dropped -> {}), () -> {})));
         };
     }
 
@@ -218,6 +227,10 @@
         handler.handle(new Request(from, call.method(), call.path(), call.body()), answer -> {
             transcript.answered(time.nowMs(), to, from, call, answer);
             transmit(to, from, () -> answerOnce.accept(answer), reset);
+            // A second copy of the answer finds no request that waits for it.
+            repeater.delayMs(from, call)
+                    .ifPresent(delayMs ->
+                            time.schedule(delayMs, () -> transmit(to, from, () -> answerOnce.accept(answer), reset)));
         });
     }
 }
