Soak: loopback addresses of its own for each seed, and no process outlives its seed

A controller that was crashed twice in a row was started twice, and the first process stayed. Both were faults of the soak.

--- a/src/test/java/notchpick/Soak.java
+++ b/src/test/java/notchpick/Soak.java
@@ -1,5 +1,7 @@
 package notchpick;
 
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -64,7 +66,7 @@
             for (int i = 0; i < runs; i++) {
                 SoakRun run = new SoakRun(firstSeed + i, lengthMs);
                 futures.add(executor.submit(() -> {
-                    Outcome outcome = run.run();
+                    Outcome outcome = runOrFail(run);
                     print(outcome);
                     return outcome;
                 }));
@@ -79,6 +81,17 @@
         }
     }
 
+    /** Runs the seed; an error of the soak itself counts as a violation, and other seeds go on. */
+    private static Outcome runOrFail(SoakRun run) {
+        try {
+            return run.run();
+        } catch (RuntimeException e) {
+            StringWriter trace = new StringWriter();
+            e.printStackTrace(new PrintWriter(trace));
+            return new Outcome(run.seed(), List.of("error of the soak: " + trace), "", "");
+        }
+    }
+
     private static void print(Outcome outcome) {
         if (outcome.violations().isEmpty()) {
             System.out.printf("seed %d: held; %s%n", outcome.seed(), outcome.figures());
--- a/src/test/java/notchpick/SoakRun.java
+++ b/src/test/java/notchpick/SoakRun.java
@@ -33,6 +33,8 @@
     private static final long START_CHECK_MS = 200;
     private static final long MAX_PAUSE_BETWEEN_FAULTS_MS = 6000;
     private static final long USER_ACTION_INTERVAL_MS = 700;
+    private static final int ADDRESS_PART_VALUES = 256;
+    private static final int MAX_ADDRESS_PART = 254;
     private static final Path LOGS = Path.of("target", "soak");
 
     private final int seed;
@@ -45,6 +47,10 @@
         this.lengthMs = lengthMs;
     }
 
+    int seed() {
+        return seed;
+    }
+
     /**
      * The outcome of a seed.
      *
@@ -65,7 +71,7 @@
                     FaultRun.configForConstrainedJobs(3 + 2 * (seed % 2), TIMING),
                     new SimulatedTime(work),
                     (time, network) -> {
-                        ProcessControllers runner = startRunner(time, network, work, logs);
+                        ProcessControllers runner = startRunner(time, network, work, loopbackHost(), logs);
                         runners.add(runner);
                         return runner;
                     });
@@ -84,10 +90,17 @@
         }
     }
 
+    /** A loopback address for this process and seed alone. */
+    private String loopbackHost() {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (1 + (pid >> 8) % MAX_ADDRESS_PART) + "." + pid % ADDRESS_PART_VALUES + "."
+                + (1 + seed % MAX_ADDRESS_PART);
+    }
+
     private static ProcessControllers startRunner(
-            SimulatedTime time, SimulatedNetwork network, WorkQueue work, Path logs) {
+            SimulatedTime time, SimulatedNetwork network, WorkQueue work, String host, Path logs) {
         try {
-            return new ProcessControllers(time, network, work, logs);
+            return new ProcessControllers(time, network, work, host, logs);
         } catch (Exception e) {
             throw new IllegalStateException("can't run controllers", e);
         }
--- a/src/test/java/notchpick/simulation/LoopbackAddresses.java
+++ b/src/test/java/notchpick/simulation/LoopbackAddresses.java
@@ -1,23 +1,35 @@
 package notchpick.simulation;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Loopback addresses for simulated services that are served over real sockets. */
 public final class LoopbackAddresses {
+    private static final int BACKLOG = 1;
+
     private LoopbackAddresses() {}
 
     /** Distinct addresses whose ports are free now; another process may still take a port before it is used. */
     public static List<String> allocate(int count) throws IOException {
+        return allocate("127.0.0.1", count);
+    }
+
+    /**
+     * Distinct addresses whose ports are free now.
+     *
+     * @param host a loopback address; if nobody else uses it, nobody takes a port before it is used
+     */
+    public static List<String> allocate(String host, int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
         try {
             for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0);
+                ServerSocket socket = new ServerSocket(0, BACKLOG, InetAddress.getByName(host));
                 sockets.add(socket);
-                addresses.add("127.0.0.1:" + socket.getLocalPort());
+                addresses.add(host + ":" + socket.getLocalPort());
             }
         } finally {
             for (ServerSocket socket : sockets) {
--- a/src/test/java/notchpick/soak/ProcessControllers.java
+++ b/src/test/java/notchpick/soak/ProcessControllers.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import notchpick.coordination.Deployment;
@@ -50,26 +51,33 @@
     private final SimulatedTime time;
     private final SimulatedNetwork network;
     private final WorkQueue work;
+    private final String host;
     private final Path logDirectory;
     private final List<String> command;
     private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
     private final JettyHttpCaller caller;
     private final Map<String, Ports> ports = new HashMap<>();
-    private final Map<String, Process> processes = new HashMap<>();
+    private final Map<String, Process> processes = new ConcurrentHashMap<>();
     private final Map<String, BooleanSupplier> alive = new HashMap<>();
     private final List<JettyHttpServer> servers = new ArrayList<>();
 
-    /** @param logDirectory gets one log file for each controller; must exist and be empty */
-    public ProcessControllers(SimulatedTime time, SimulatedNetwork network, WorkQueue work, Path logDirectory)
+    /**
+     * @param host a loopback address that nobody else uses
+     * @param logDirectory gets one log file for each controller; must exist and be empty
+     */
+    public ProcessControllers(
+            SimulatedTime time, SimulatedNetwork network, WorkQueue work, String host, Path logDirectory)
             throws Exception {
         this.time = time;
         this.network = network;
         this.work = work;
+        this.host = host;
         this.logDirectory = logDirectory;
         this.command = ControllerCommand.read();
         threads.start();
         scheduler.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         caller = new JettyHttpCaller(threads, scheduler, MAX_CONNECTIONS, CONNECT_TIMEOUT_MS);
     }
 
@@ -89,6 +97,10 @@
                     .redirectOutput(
                             ProcessBuilder.Redirect.appendTo(log(start.node()).toFile()));
             builder.environment().put("LOG_LEVEL", "info");
+            Process previous = processes.remove(start.node());
+            if (previous != null) {
+                previous.destroyForcibly().onExit().join();
+            }
             processes.put(start.node(), builder.start());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -106,7 +118,7 @@
         List<String> targets = new ArrayList<>(List.of(deployment.stateStoreAddress(), deployment.cloudAddress()));
         deployment.peers().stream().map(Peer::address).forEach(targets::add);
         try {
-            List<String> free = LoopbackAddresses.allocate(targets.size() + 2);
+            List<String> free = LoopbackAddresses.allocate(host, targets.size() + 2);
             Map<String, String> outgoing = new HashMap<>();
             List<Endpoint> endpoints = new ArrayList<>();
             for (int i = 0; i < targets.size(); i++) {
@@ -154,6 +166,10 @@
         processes.get(node).destroyForcibly();
     }
 
+    private void killAll() {
+        processes.values().forEach(Process::destroyForcibly);
+    }
+
     @Override
     public void pause(String node, long durationMs) {
         Process process = processes.get(node);
@@ -201,7 +217,7 @@
 
     @Override
     public void close() {
-        processes.values().forEach(Process::destroyForcibly);
+        killAll();
         caller.close();
         servers.forEach(JettyHttpServer::close);
         LifeCycle.stop(threads);
