--- a/src/main/java/notchpick/app/ControllerComponents.java
+++ b/src/main/java/notchpick/app/ControllerComponents.java
@@ -53,26 +53,20 @@
                 new PeerMembership(loop, deployment, peerClient, peers, new AnnouncedStatus(), this::heartbeatReceived);
         FailoverStateStoreTransport stateStoreTransport =
                 new FailoverStateStoreTransport(loop, caller, links, peers, peerClient, leaderLeaseMs);
-        stateStore = new StateStoreClient(
-                stateStoreTransport,
-                loop,
-                deployment.stateStoreAddress(),
-                STATE_STORE_TIMEOUT_MS,
-                deployment.ownStateStoreRequestsPerS());
+        stateStore = stateStoreClient(stateStoreTransport, loop, deployment);
         cloud = new CloudClient(caller, deployment.cloudAddress(), CLOUD_TIMEOUT_MS);
-        localLeader = new LocalLeader(
-                new LeaderEnvironment(
-                        loop,
-                        deployment,
-                        tuning,
-                        stateStore,
-                        cloud,
-                        peers,
-                        peerClient,
-                        links,
-                        stateStoreTransport,
-                        launchCounters),
-                this::stepDown);
+        LeaderEnvironment leaderEnvironment = new LeaderEnvironment(
+                loop,
+                deployment,
+                tuning,
+                stateStore,
+                cloud,
+                peers,
+                peerClient,
+                links,
+                stateStoreTransport,
+                launchCounters);
+        localLeader = new LocalLeader(leaderEnvironment, this::stepDown);
         election = new LeaderElection(
                 loop,
                 deployment.node(),
@@ -87,6 +81,16 @@
         userRequests = new UserRequestHandler(loop, deployment, stateStore, this::progress);
     }
 
+    private static StateStoreClient stateStoreClient(
+            FailoverStateStoreTransport transport, EventLoop loop, Deployment deployment) {
+        return new StateStoreClient(
+                transport,
+                loop,
+                deployment.stateStoreAddress(),
+                STATE_STORE_TIMEOUT_MS,
+                deployment.ownStateStoreRequestsPerS());
+    }
+
     /** Starts the components that act on timers of their own. */
     void start() {
         election.tell(new LeaderElection.Begin());
--- a/src/test/java/notchpick/PlacementFaultTest.java
+++ b/src/test/java/notchpick/PlacementFaultTest.java
@@ -54,6 +54,7 @@
         assertEquals(List.of(), run.cluster().invariants().violations(), "seed " + seed + ": " + run.eventLog());
     }
 
+    /** Checks that the runs together have reached what they test. */
     @AfterAll
     static void launchesWereJudgedAgain() {
         System.out.println("launches withdrawn: " + WITHDRAWN_LAUNCHES);
