Allocation: log why the longest skipped job has found no machine

Several filters could keep it away: on-demand machines held back, the reservation that a skipped job makes, zones, avoidance after a failure, quarantine, tasks of the lost machine that still count as placed.

SkippedJobLog writes one INFO line at intervals of the skipping limit, for the job of a team that has been skipped longest: how many machines each obstacle keeps from it. MachineSelector decides by the same method that the log uses. DemandEstimator says once per job when it finds no spot machine rented or offered. Scenarios: the verb 'capacity' changes what the cloud offers, and a machine can be named by a job on it.

No change of behaviour.

--- a/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
@@ -27,6 +27,11 @@
         return owner == null || owner == allocation;
     }
 
+    /** Whether the machine is reserved for a job. */
+    boolean isReserved(Machine machine) {
+        return reserved.containsKey(machine);
+    }
+
     /**
      * Records that no machine was found for the job, and reserves one if the job has been skipped for too long. Returns
      * whether a machine was reserved; the caller must then discard its earlier selections, which may contain it.
--- a/src/main/java/notchpick/coordination/leader/allocation/MachineSelector.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/MachineSelector.java
@@ -30,19 +30,51 @@
             BackfillReservations reservations,
             long nowMs) {
         JobSpec spec = job.spec();
-        // The avoidance is limited in time: if there are few machines, the job may have failed on the only one that
-        // fits.
-        long avoidanceMs = heartbeatPeriodMs * FAILURE_AVOIDANCE_PERIODS;
-        Map<String, Integer> zones = spec.hasZoneConstraint() ? tasksByZone(job, allocation.lease()) : Map.of();
-        Predicate<Machine> isEligible = machine -> spec.allowsZoneAmongTasks(machine.zone(), zones)
-                && (machine.isSpot() || job.canUseOnDemand())
-                && !machine.health().hasFailedWithin(spec.id(), nowMs, avoidanceMs)
-                && reservations.canUse(allocation, machine);
+        Map<String, Integer> zones = tasksByZone(job, allocation.lease());
+        Predicate<Machine> isEligible =
+                machine -> eligibilityObstacle(job, machine, zones, nowMs) == PlacementObstacle.NONE
+                        && reservations.canUse(allocation, machine);
         return spec.isUrgent()
                 ? index.chooseSoonest(spec, isEligible, machine -> launchDelayMs(machine, nowMs))
                 : index.choose(spec, isEligible);
     }
 
+    /** What keeps the job's next task from the machine after a round; {@code NONE} if nothing does. */
+    PlacementObstacle obstacle(
+            Job job, TeamAllocation allocation, BackfillReservations reservations, Machine machine, long nowMs) {
+        JobSpec spec = job.spec();
+        if (!machine.isSchedulable(nowMs, heartbeatPeriodMs)) {
+            return PlacementObstacle.MACHINE_UNAVAILABLE;
+        }
+        if (!spec.allows(machine.type(), machine.zone(), machine.isSpot())) {
+            return PlacementObstacle.NOT_ALLOWED;
+        }
+        PlacementObstacle obstacle = eligibilityObstacle(job, machine, tasksByZone(job, allocation.lease()), nowMs);
+        if (obstacle != PlacementObstacle.NONE) {
+            return obstacle;
+        }
+        if (!spec.demand().fitsIn(machine.freeResources())) {
+            return PlacementObstacle.FULL;
+        }
+        return reservations.isReserved(machine) ? PlacementObstacle.RESERVED : PlacementObstacle.NONE;
+    }
+
+    /** What keeps the job from an allowed machine, its free resources and reservations aside. */
+    private PlacementObstacle eligibilityObstacle(Job job, Machine machine, Map<String, Integer> zones, long nowMs) {
+        if (!machine.isSpot() && !job.canUseOnDemand()) {
+            return PlacementObstacle.ON_DEMAND;
+        }
+        if (!job.spec().allowsZoneAmongTasks(machine.zone(), zones)) {
+            return PlacementObstacle.ZONE_EXCLUDED;
+        }
+        // The avoidance is limited in time: if there are few machines, the job may have failed on the only one that
+        // fits.
+        long avoidanceMs = heartbeatPeriodMs * FAILURE_AVOIDANCE_PERIODS;
+        return machine.health().hasFailedWithin(job.id(), nowMs, avoidanceMs)
+                ? PlacementObstacle.TASK_FAILED_THERE
+                : PlacementObstacle.NONE;
+    }
+
     /**
      * The time until a launch command can be sent to the machine. Commands are sent with replies to heartbeats, so it
      * is 0 while a heartbeat awaits its reply.
@@ -51,7 +83,11 @@
         return machine.isAwaitingReply() ? 0 : Math.max(1, machine.lastHeartbeatAtMs() + heartbeatPeriodMs - nowMs);
     }
 
+    /** The zones of the job's tasks that are placed or leased; empty if its constraints do not depend on them. */
     private Map<String, Integer> tasksByZone(Job job, ResourceLease lease) {
+        if (!job.spec().hasZoneConstraint()) {
+            return Map.of();
+        }
         Map<String, Integer> zones = cluster.tasksByZone(job.id());
         if (lease.covers(job)) {
             // The lease holder decides after the round which leased machine each task goes to, so each leased machine
--- a/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
@@ -29,6 +29,7 @@
     private final CommitmentTracker commitments;
     private final MachineSelector machineSelector;
     private final PreemptionPlanner preemption;
+    private final SkippedJobLog skippedJobs;
     private final double maxSkippedMs;
 
     public ResourceAllocator(TermContext context, Tuning tuning, ResourceLeases leases) {
@@ -40,6 +41,7 @@
         this.machineSelector = new MachineSelector(context);
         this.preemption = new PreemptionPlanner(context);
         this.maxSkippedMs = tuning.maxSkippedS() * Milliseconds.PER_SECOND;
+        this.skippedJobs = new SkippedJobLog(context, machineSelector, maxSkippedMs);
     }
 
     /** The decayed overuse of each team. */
@@ -81,9 +83,9 @@
         PlacementIndex<Machine> index = new PlacementIndex<>(schedulable);
         List<TeamAllocation> allocations = new ArrayList<>();
         waiting.forEach((team, jobs) -> allocations.add(newAllocation(team, jobs, capacity, activeTeams.size())));
-        new AllocationRound(
-                        context, commitments, machineSelector, new BackfillReservations(maxSkippedMs), index, capacity)
-                .run(allocations);
+        BackfillReservations reservations = new BackfillReservations(maxSkippedMs);
+        new AllocationRound(context, commitments, machineSelector, reservations, index, capacity).run(allocations);
+        skippedJobs.record(allocations, reservations, nowMs);
         allocations.forEach(allocation -> leases.grant(allocation.lease()));
         if (isPreemptionDue) {
             preemption.preemptFor(allocations, nowMs);
--- a/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
+++ b/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
@@ -19,9 +19,13 @@
 import notchpick.scheduling.MachineType;
 import notchpick.scheduling.NodePool;
 import notchpick.scheduling.Resources;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Estimates how many tasks of each open job could run at once, and decides which jobs need on-demand machines. */
 final class DemandEstimator {
+    private static final Logger LOG = LoggerFactory.getLogger(DemandEstimator.class);
+
     private final TermContext context;
     private final Deployment deployment;
     private final ClusterState cluster;
@@ -58,8 +62,8 @@
                 boolean isGuaranteed = quota != null && quota.isWithinGuarantee(demandAfter);
                 double queueS = ownedCores > 0 ? queuedCoreS / ownedCores : Double.MAX_VALUE;
                 job.setSpotTooSlow(isGuaranteed || isUrgentAndLate(waiting, queueS));
-                if (hasNoSpotMachine(spec)) {
-                    job.markSpotUnavailable();
+                if (spec.spot() && hasNoSpotMachine(spec)) {
+                    markSpotUnavailable(job);
                 }
                 demands.add(new JobDemand(spec, tasks, waiting.runS(), job.canUseOnDemand(), isGuaranteed));
             }
@@ -111,6 +115,16 @@
         return slackS >= 0 && queueS > slackS + bootS;
     }
 
+    private void markSpotUnavailable(Job job) {
+        if (!job.isSpotUnavailable()) {
+            LOG.info(
+                    "no spot machine available: job={} team={}",
+                    job.id(),
+                    job.spec().team());
+            job.markSpotUnavailable();
+        }
+    }
+
     /** Whether no spot machine that can run the job is rented or offered, in which case the job would wait forever. */
     private boolean hasNoSpotMachine(JobSpec spec) {
         return !isSpotMachineRented(spec) && !isSpotMachineOffered(spec);
--- a/src/main/java/notchpick/model/Job.java
+++ b/src/main/java/notchpick/model/Job.java
@@ -263,6 +263,10 @@
         spotUnavailable = true;
     }
 
+    public boolean isSpotUnavailable() {
+        return spotUnavailable;
+    }
+
     /** Whether the job may use on-demand machines: its user chose them, or it needs them to run or to be on time. */
     public boolean canUseOnDemand() {
         return spotTooSlow || spotUnavailable || !spec.spot();
--- a/src/test/java/notchpick/ScenarioVerbs.java
+++ b/src/test/java/notchpick/ScenarioVerbs.java
@@ -137,6 +137,11 @@
                     "cloud",
                     (cluster, step) ->
                             cluster.cloud().setUnavailable(step.subject().equals("down"))),
+            // From now on, the cloud rents out up to this many machines of a pool at a time.
+            entry(
+                    "capacity",
+                    (cluster, step) -> cluster.setCapacity(
+                            step.subject(), step.argument(1), step.argument(2).equals("spot"), step.intArgument(3))),
             entry("cloud-lists", (cluster, step) -> cluster.cloud().setListing(Listing.valueOf(step.subject()))),
             entry("delay-next-release", (cluster, step) -> cluster.cloud().delayNextRelease(step.millisArgument(0))),
             entry("delay-next-rental", (cluster, step) -> cluster.cloud().delayNextRental(step.millisArgument(0))),
@@ -231,13 +236,14 @@
                 .toList();
     }
 
-    /** A machine by its name, or for "busy" the first one with a task. */
+    /** A machine by its name, for "busy" the first one with a task, or for a job the first one with a task of it. */
     private static String machine(SimulatedCluster cluster, String word) {
-        if (!word.equals("busy")) {
+        boolean isJob = word.startsWith("run-");
+        if (!isJob && !word.equals("busy")) {
             return word;
         }
         return cluster.fleet().workers().stream()
-                .filter(worker -> !worker.tasks().isEmpty())
+                .filter(worker -> worker.tasks().stream().anyMatch(task -> !isJob || task.startsWith(word + "/")))
                 .findFirst()
                 .orElseThrow()
                 .name();
