--- a/src/main/java/notchpick/coordination/leader/allocation/EquivalenceClass.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/EquivalenceClass.java
@@ -18,19 +18,15 @@
     /**
      * The class of the job; empty if placement also depends on where its other tasks are or on which machines it
      * failed.
+     *
+     * @param onDemand whether the job may use on-demand machines that are up
      */
-    static Optional<EquivalenceClass> of(Job job) {
+    static Optional<EquivalenceClass> of(Job job, boolean onDemand) {
         JobSpec spec = job.spec();
         if (spec.hasZoneConstraint() || job.hasTaskFailures()) {
             return Optional.empty();
         }
         return Optional.of(new EquivalenceClass(
-                spec.demand(),
-                spec.types(),
-                spec.zone(),
-                spec.spot(),
-                job.canUseOnDemand(),
-                spec.isUrgent(),
-                spec.image()));
+                spec.demand(), spec.types(), spec.zone(), spec.spot(), onDemand, spec.isUrgent(), spec.image()));
     }
 }
--- a/src/main/java/notchpick/coordination/leader/allocation/PlacementObstacle.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/PlacementObstacle.java
@@ -7,8 +7,8 @@
     MACHINE_UNAVAILABLE,
     /** The job's specification excludes the machine's type, zone or kind. */
     NOT_ALLOWED,
-    /** The job accepts spot machines, and may not use on-demand ones at present. */
-    ON_DEMAND,
+    /** The machine is an on-demand one, and the job still waits for room on a spot machine. */
+    SPOT_PREFERRED,
     /** The zones of the job's other tasks exclude the machine's zone. */
     ZONE_EXCLUDED,
     /** A task of the job has recently failed on the machine. */
--- a/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
@@ -9,6 +9,7 @@
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Deployment.Quota;
 import notchpick.coordination.Tuning;
+import notchpick.coordination.leader.term.OnDemandPolicy;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.ClusterState;
 import notchpick.model.Job;
@@ -27,6 +28,7 @@
     private final ClusterState cluster;
     private final ResourceLeases leases;
     private final CommitmentTracker commitments;
+    private final OnDemandPolicy onDemand;
     private final MachineSelector machineSelector;
     private final PreemptionPlanner preemption;
     private final SkippedJobLog skippedJobs;
@@ -38,7 +40,8 @@
         this.cluster = context.cluster();
         this.leases = leases;
         this.commitments = new CommitmentTracker(context, tuning.commitmentDecayS());
-        this.machineSelector = new MachineSelector(context);
+        this.onDemand = new OnDemandPolicy(context);
+        this.machineSelector = new MachineSelector(context, onDemand);
         this.preemption = new PreemptionPlanner(context);
         this.maxSkippedMs = tuning.maxSkippedS() * Milliseconds.PER_SECOND;
         this.skippedJobs = new SkippedJobLog(context, machineSelector, maxSkippedMs);
@@ -115,7 +118,8 @@
         double cores = expectedCores(team, capacity, activeTeams);
         JobOrder.sorted(waiting, context.loop().wallTimeMs(), deployment.objectives(), cores)
                 .forEach(next -> ordered.add(next.job()));
-        return new TeamAllocation(team, deployment.quota(team), ordered, leases.newLease(team), cluster.usage(team));
+        return new TeamAllocation(
+                team, deployment.quota(team), ordered, leases.newLease(team), cluster.usage(team), onDemand);
     }
 
     /**
--- a/src/main/java/notchpick/coordination/leader/allocation/SkippedJobLog.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/SkippedJobLog.java
@@ -1,13 +1,10 @@
 package notchpick.coordination.leader.allocation;
 
 import java.util.Comparator;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.Job;
-import notchpick.model.Machine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,10 +41,6 @@
     }
 
     private void log(Job job, TeamAllocation allocation, BackfillReservations reservations, long nowMs) {
-        Map<PlacementObstacle, Integer> machines = new EnumMap<>(PlacementObstacle.class);
-        for (Machine machine : context.cluster().machines()) {
-            machines.merge(machineSelector.obstacle(job, allocation, reservations, machine, nowMs), 1, Integer::sum);
-        }
         LOG.info(
                 "job skipped: job={} team={} pendingTasks={} skippedMs={} skippedJobs={} machinesByObstacle={} term={}",
                 job.id(),
@@ -55,7 +48,7 @@
                 job.pendingTasks(),
                 nowMs - job.skippedSinceMs(),
                 allocation.skipped().size(),
-                machines,
+                machineSelector.countObstacles(job, allocation, reservations, nowMs),
                 context.term());
     }
 }
--- a/src/main/java/notchpick/coordination/leader/allocation/TeamAllocation.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/TeamAllocation.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 import notchpick.coordination.Deployment.Quota;
+import notchpick.coordination.leader.term.OnDemandPolicy;
 import notchpick.model.Job;
 import notchpick.scheduling.JobSpec;
+import notchpick.scheduling.OnDemandAccess;
 import notchpick.scheduling.Resources;
 
 /** The state of one team in an allocation round: its waiting jobs and what it has been granted. */
@@ -30,7 +32,8 @@
      * @param jobs the waiting jobs, in the order in which they are served; modified by the round
      * @param held the resources that the team holds before the round
      */
-    TeamAllocation(String team, Quota quota, List<Job> jobs, ResourceLease lease, Resources held) {
+    TeamAllocation(
+            String team, Quota quota, List<Job> jobs, ResourceLease lease, Resources held, OnDemandPolicy onDemand) {
         this.team = team;
         this.quota = quota;
         this.jobs = jobs;
@@ -39,7 +42,7 @@
         // Equal classes share one instance, so that they can be compared by identity.
         Map<EquivalenceClass, EquivalenceClass> distinct = new HashMap<>();
         for (Job job : jobs) {
-            EquivalenceClass.of(job)
+            EquivalenceClass.of(job, onDemand.accessOf(job) != OnDemandAccess.NONE)
                     .ifPresent(found -> classes.put(job, distinct.computeIfAbsent(found, same -> same)));
         }
     }
--- a/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
+++ b/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import notchpick.coordination.Deployment;
 import notchpick.coordination.Deployment.Quota;
+import notchpick.coordination.leader.term.OnDemandPolicy;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.ClusterState;
 import notchpick.model.Job;
@@ -31,6 +32,7 @@
     private final ClusterState cluster;
     private final MachineTypeCatalog types;
     private final Predicate<NodePool> isRefused;
+    private final OnDemandPolicy onDemand;
 
     /** @param isRefused whether the cloud has recently rented out fewer machines of a pool than requested */
     DemandEstimator(TermContext context, Predicate<NodePool> isRefused) {
@@ -39,6 +41,7 @@
         this.cluster = context.cluster();
         this.types = context.machineTypes();
         this.isRefused = isRefused;
+        this.onDemand = new OnDemandPolicy(context);
     }
 
     /** The demands of the open jobs that are not blocked, in the order in which the jobs are served. */
@@ -65,7 +68,7 @@
                 if (spec.spot() && hasNoSpotMachine(spec)) {
                     markSpotUnavailable(job);
                 }
-                demands.add(new JobDemand(spec, tasks, waiting.runS(), job.canUseOnDemand(), isGuaranteed));
+                demands.add(new JobDemand(spec, tasks, waiting.runS(), onDemand.accessOf(job), isGuaranteed));
             }
         }
         return demands;
--- a/src/main/java/notchpick/model/Job.java
+++ b/src/main/java/notchpick/model/Job.java
@@ -267,8 +267,11 @@
         return spotUnavailable;
     }
 
-    /** Whether the job may use on-demand machines: its user chose them, or it needs them to run or to be on time. */
-    public boolean canUseOnDemand() {
+    /**
+     * Whether on-demand machines may be rented for the job: its user chose them, or it needs them to run or to be on
+     * time. Which of those that are up it may use is another question.
+     */
+    public boolean mayRentOnDemand() {
         return spotTooSlow || spotUnavailable || !spec.spot();
     }
 }
--- a/src/main/java/notchpick/scheduling/FleetPlanner.java
+++ b/src/main/java/notchpick/scheduling/FleetPlanner.java
@@ -83,7 +83,8 @@
             double pricePerCore = type == null
                     ? Double.MAX_VALUE
                     : type.pricePerCore(machine.pool().spot());
-            machines.add(new PackedOwned(machine, pricePerCore, new PackedMachine(machine.pool(), machine.size())));
+            machines.add(new PackedOwned(
+                    machine, pricePerCore, new PackedMachine(machine.pool(), machine.size(), !machine.isIdle())));
         }
         machines.sort(Comparator.<PackedOwned>comparingInt(
                         machine -> machine.machine().isIdle() ? 1 : 0)
@@ -112,7 +113,7 @@
                 return;
             }
             NodePool pool = offer.get().pool();
-            PackedMachine machine = new PackedMachine(pool, offer.get().type().size());
+            PackedMachine machine = new PackedMachine(pool, offer.get().type().size(), false);
             int packed = machine.pack(demand, unpacked);
             if (packed == 0) {
                 return;
--- a/src/main/java/notchpick/scheduling/JobDemand.java
+++ b/src/main/java/notchpick/scheduling/JobDemand.java
@@ -5,11 +5,11 @@
  *
  * @param tasks the number of its unfinished tasks, including running ones
  * @param runS the expected run time of one task, in seconds
- * @param onDemandAllowed whether the job may use on-demand machines even if it accepts spot instances
+ * @param onDemandAccess which on-demand machines the job may use
  * @param runsAllTasksConcurrently whether all its tasks should run at the same time even if they are short
  */
 public record JobDemand(
-        JobSpec spec, int tasks, double runS, boolean onDemandAllowed, boolean runsAllTasksConcurrently) {
+        JobSpec spec, int tasks, double runS, OnDemandAccess onDemandAccess, boolean runsAllTasksConcurrently) {
     /** How many tasks must run at the same time for all of them to end within the horizon. */
     int concurrentTasks(double horizonS) {
         if (runsAllTasksConcurrently || spec.isService()) {
@@ -19,7 +19,7 @@
         return (int) Math.ceil(tasks / runsPerSlot);
     }
 
-    boolean mayUseOnDemand() {
-        return onDemandAllowed || !spec.spot();
+    boolean mayRentOnDemand() {
+        return onDemandAccess == OnDemandAccess.RENTAL;
     }
 }
--- a/src/main/java/notchpick/scheduling/PackedMachine.java
+++ b/src/main/java/notchpick/scheduling/PackedMachine.java
@@ -3,11 +3,14 @@
 /** A machine, owned or to be rented, onto which demand is packed. */
 final class PackedMachine {
     private final NodePool pool;
+    private final boolean busy;
     private Resources freeResources;
     private boolean used;
 
-    PackedMachine(NodePool pool, Resources size) {
+    /** @param busy whether tasks run on the machine, so that it is paid for anyway */
+    PackedMachine(NodePool pool, Resources size, boolean busy) {
         this.pool = pool;
+        this.busy = busy;
         this.freeResources = size;
     }
 
@@ -16,7 +19,7 @@
         JobSpec spec = demand.spec();
         if (!hasCores(spec.demand().cores())
                 || !spec.allows(pool.type(), pool.zone(), pool.spot())
-                || (!pool.spot() && !demand.mayUseOnDemand())) {
+                || !isAccessible(demand)) {
             return 0;
         }
         int packed = Math.min(tasks, spec.demand().copiesFittingIn(freeResources));
@@ -27,6 +30,15 @@
         return packed;
     }
 
+    /** Whether the job may use the machine: an idle on-demand machine is not kept for a job that spot can serve. */
+    private boolean isAccessible(JobDemand demand) {
+        return switch (demand.onDemandAccess()) {
+            case NONE -> pool.spot();
+            case RUNNING_MACHINES -> pool.spot() || busy;
+            case RENTAL -> true;
+        };
+    }
+
     boolean hasCores(double cores) {
         return freeResources.cores() + Resources.EPSILON >= cores;
     }
--- a/src/main/java/notchpick/scheduling/PoolSelector.java
+++ b/src/main/java/notchpick/scheduling/PoolSelector.java
@@ -39,7 +39,7 @@
     /** The pool for one more machine to run up to {@code tasks} of the job's tasks; empty if none is suitable. */
     Optional<Offer> select(JobDemand demand, int tasks) {
         Optional<Offer> spot = cheapest(demand, tasks, true);
-        return spot.isPresent() || !demand.mayUseOnDemand() ? spot : cheapest(demand, tasks, false);
+        return spot.isPresent() || !demand.mayRentOnDemand() ? spot : cheapest(demand, tasks, false);
     }
 
     /**
--- a/src/test/java/notchpick/scheduling/FleetPlannerTest.java
+++ b/src/test/java/notchpick/scheduling/FleetPlannerTest.java
@@ -33,7 +33,8 @@
 
     @Test
     void rentsCheapMachinesInBothZones() {
-        ScalingPlan plan = planFor(new JobDemand(job(8, true, false), 8, 60, false, false), pool -> false);
+        ScalingPlan plan =
+                planFor(new JobDemand(job(8, true, false), 8, 60, OnDemandAccess.NONE, false), pool -> false);
         assertEquals(
                 Map.of(new NodePool("small", "east", true), 2, new NodePool("small", "west", true), 2),
                 plan.scaleOut());
@@ -42,7 +43,7 @@
     @Test
     void shortTasksRunOneAfterTheOtherWithinTheHorizon() {
         ScalingPlan plan = planFor(
-                new JobDemand(job(8, true, false), 8, 20, false, false),
+                new JobDemand(job(8, true, false), 8, 20, OnDemandAccess.NONE, false),
                 pool -> pool.zone().equals("west"));
         assertEquals(Map.of(new NodePool("small", "east", true), 2), plan.scaleOut());
     }
@@ -50,7 +51,7 @@
     @Test
     void replicasRunConcurrently() {
         ScalingPlan plan = planFor(
-                new JobDemand(job(4, true, true), 4, 20, false, false),
+                new JobDemand(job(4, true, true), 4, 20, OnDemandAccess.NONE, false),
                 pool -> pool.zone().equals("west"));
         assertEquals(Map.of(new NodePool("small", "east", true), 2), plan.scaleOut());
     }
@@ -60,16 +61,16 @@
         Predicate<NodePool> noSpot = NodePool::spot;
         assertEquals(
                 Map.of(),
-                planFor(new JobDemand(job(2, true, false), 2, 60, false, false), noSpot)
+                planFor(new JobDemand(job(2, true, false), 2, 60, OnDemandAccess.NONE, false), noSpot)
                         .scaleOut());
         assertEquals(
                 1,
-                planFor(new JobDemand(job(2, true, false), 2, 60, true, false), noSpot)
+                planFor(new JobDemand(job(2, true, false), 2, 60, OnDemandAccess.RENTAL, false), noSpot)
                         .scaleOut()
                         .size());
         assertEquals(
                 1,
-                planFor(new JobDemand(job(2, false, false), 2, 60, false, false), pool -> false)
+                planFor(new JobDemand(job(2, false, false), 2, 60, OnDemandAccess.RENTAL, false), pool -> false)
                         .scaleOut()
                         .size());
     }
@@ -82,7 +83,7 @@
                 new OwnedMachine("m-2", pool, SMALL.size(), true),
                 new OwnedMachine("m-3", pool, SMALL.size(), true));
         ScalingPlan plan = FleetPlanner.plan(
-                List.of(new JobDemand(job(4, true, false), 4, 60, false, false)),
+                List.of(new JobDemand(job(4, true, false), 4, 60, OnDemandAccess.NONE, false)),
                 owned,
                 TYPES,
                 60,
@@ -91,4 +92,37 @@
         assertEquals(Set.of("m-3"), plan.unneeded());
         assertEquals(Map.of(), plan.scaleOut());
     }
+
+    /** Tasks that free resources of a busy on-demand machine can take need no further machine. */
+    @Test
+    void busyOnDemandMachinesServeJobsThatMayUseThem() {
+        NodePool pool = new NodePool("small", "east", false);
+        OwnedMachine busy = new OwnedMachine("m-1", pool, SMALL.size(), false);
+        assertEquals(
+                Map.of(), planForSpotJob(busy, OnDemandAccess.RUNNING_MACHINES).scaleOut());
+        assertEquals(
+                Map.of(new NodePool("small", "east", true), 1),
+                planForSpotJob(busy, OnDemandAccess.NONE).scaleOut());
+    }
+
+    /** The job could be served by a cheaper machine, so an idle on-demand machine is returned. */
+    @Test
+    void idleOnDemandMachinesAreKeptOnlyForJobsThatMayRentThem() {
+        NodePool pool = new NodePool("small", "east", false);
+        OwnedMachine idle = new OwnedMachine("m-1", pool, SMALL.size(), true);
+        ScalingPlan plan = planForSpotJob(idle, OnDemandAccess.RUNNING_MACHINES);
+        assertEquals(Set.of("m-1"), plan.unneeded());
+        assertEquals(Map.of(new NodePool("small", "east", true), 1), plan.scaleOut());
+        assertEquals(Set.of(), planForSpotJob(idle, OnDemandAccess.RENTAL).unneeded());
+    }
+
+    private static ScalingPlan planForSpotJob(OwnedMachine owned, OnDemandAccess access) {
+        return FleetPlanner.plan(
+                List.of(new JobDemand(job(2, true, false), 2, 60, access, false)),
+                List.of(owned),
+                TYPES,
+                60,
+                pool -> pool.zone().equals("west"),
+                pool -> false);
+    }
 }
