Allocation: a job reserves only machines that it could use

Seen: a job bound to one zone whose machine is full reserves the machine with the most free cores, also one in a zone that its other tasks exclude. The reservation lasts as long as the job waits, and other jobs of the team, which may use that machine, wait beside it. The same held for on-demand machines that the job could not use.

Cause: BackfillReservations asked the job's specification only.

Fix: MachineSelector.eligibility, which also decides the selection, says which machines a job may reserve.

--- a/src/main/java/notchpick/coordination/leader/allocation/AllocationRound.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/AllocationRound.java
@@ -162,7 +162,9 @@
         Machine machine = select(job, allocation, selected);
         if (machine == null) {
             allocation.markSkipped(job);
-            if (reservations.recordSkip(job, allocation, index, nowMs)) {
+            if (reservations.recordSkip(job, allocation, nowMs)
+                    && reservations.reserve(
+                            job, allocation, machineSelector.eligibility(job, allocation, nowMs), index)) {
                 selected.clear();
             }
         }
--- a/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import notchpick.model.Job;
 import notchpick.model.Machine;
 import notchpick.scheduling.JobSpec;
@@ -10,7 +11,7 @@
 
 /**
  * Prevents starvation: a job that has been skipped for too long reserves the machine with the most free cores among
- * those that are large enough for its tasks. Reservations last for one round.
+ * those that are large enough for its tasks and that it may use. Reservations last for one round.
  */
 final class BackfillReservations {
     private final Map<Machine, TeamAllocation> reserved = new HashMap<>();
@@ -33,18 +34,26 @@
     }
 
     /**
-     * Records that no machine was found for the job, and reserves one if the job has been skipped for too long. Returns
-     * whether a machine was reserved; the caller must then discard its earlier selections, which may contain it.
+     * Records that no machine was found for the job; returns whether it has been skipped for so long that it may
+     * reserve one.
      */
-    boolean recordSkip(Job job, TeamAllocation allocation, PlacementIndex<Machine> index, long nowMs) {
+    boolean recordSkip(Job job, TeamAllocation allocation, long nowMs) {
         if (job.skippedSinceMs() == 0) {
             job.setSkippedSinceMs(nowMs);
             return false;
         }
-        if (nowMs - job.skippedSinceMs() < maxSkippedMs || reserved.containsValue(allocation)) {
-            return false;
-        }
-        Machine machine = machineWithMostFreeCores(job.spec(), index);
+        return nowMs - job.skippedSinceMs() >= maxSkippedMs && !reserved.containsValue(allocation);
+    }
+
+    /**
+     * Reserves a machine for the job, if there is one. Returns whether a machine was reserved; the caller must then
+     * discard its earlier selections, which may contain it.
+     *
+     * @param isEligible which machines the job may use once they have room: reserving any other would keep work off it
+     *     without helping the job
+     */
+    boolean reserve(Job job, TeamAllocation allocation, Predicate<Machine> isEligible, PlacementIndex<Machine> index) {
+        Machine machine = machineWithMostFreeCores(job.spec(), isEligible, index);
         if (machine == null) {
             return false;
         }
@@ -54,11 +63,13 @@
         return true;
     }
 
-    private Machine machineWithMostFreeCores(JobSpec spec, PlacementIndex<Machine> index) {
+    private Machine machineWithMostFreeCores(
+            JobSpec spec, Predicate<Machine> isEligible, PlacementIndex<Machine> index) {
         return index.nodes().stream()
                 .filter(machine -> reserved.get(machine) == null
                         && spec.demand().fitsIn(machine.size())
-                        && spec.allows(machine.type(), machine.zone(), machine.isSpot()))
+                        && spec.allows(machine.type(), machine.zone(), machine.isSpot())
+                        && isEligible.test(machine))
                 .max(Comparator.comparingDouble(
                         machine -> machine.freeResources().cores()))
                 .orElse(null);
