Scaling out: spot machines full of services are not worth waiting for

Seen: services fill all spot machines and the cloud has no further ones; a job that accepts spot waits for good, and no on-demand machine is rented for it.

Cause: DemandEstimator.hasNoSpotMachine means that the job would wait forever, but counted each rented spot machine by its size. Replicas run until their job is cancelled, so what they hold never becomes free, and a draining machine takes no new tasks.

Fix: a rented spot machine counts if it is booting or ready and the task fits once the arrays on it have ended. Arrays do end, so a fleet that is merely busy rents no more than before.

--- a/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
+++ b/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
@@ -128,16 +128,17 @@
         }
     }
 
-    /** Whether no spot machine that can run the job is rented or offered, in which case the job would wait forever. */
+    /** Whether no spot machine is offered, and none is rented that will ever have room: the job would wait forever. */
     private boolean hasNoSpotMachine(JobSpec spec) {
         return !isSpotMachineRented(spec) && !isSpotMachineOffered(spec);
     }
 
+    /** Whether a rented spot machine can run the job, if not now, then once the job arrays on it have ended. */
     private boolean isSpotMachineRented(JobSpec spec) {
         for (Machine machine : cluster.machines()) {
             if (machine.isSpot()
-                    && machine.state() != Machine.State.RELEASED
-                    && spec.demand().fitsIn(machine.size())
+                    && (machine.state() == Machine.State.PROVISIONING || machine.state() == Machine.State.READY)
+                    && spec.demand().fitsIn(machine.resourcesWithoutServices())
                     && spec.allows(machine.type(), machine.zone(), true)) {
                 return true;
             }
--- a/src/main/java/notchpick/model/Machine.java
+++ b/src/main/java/notchpick/model/Machine.java
@@ -51,6 +51,7 @@
 
     private Resources leased = Resources.NONE;
     private Resources held = Resources.NONE;
+    private Resources heldByServices = Resources.NONE;
     private Resources free;
 
     public Machine(String name, NodePool pool, Resources size, long nowMs) {
@@ -257,6 +258,11 @@
         return size;
     }
 
+    /** The resources that are free once all job arrays on the machine have ended; services never end by themselves. */
+    public Resources resourcesWithoutServices() {
+        return size.minus(heldByServices);
+    }
+
     @Override
     public Resources freeResources() {
         return free;
@@ -295,6 +301,9 @@
     void add(TaskAssignment assignment) {
         assignments.put(assignment.taskName(), assignment);
         held = held.plus(assignment.spec().demand());
+        if (assignment.spec().isService()) {
+            heldByServices = heldByServices.plus(assignment.spec().demand());
+        }
         free = free.minus(assignment.spec().demand());
     }
 
@@ -303,10 +312,15 @@
         if (!assignments.remove(assignment.taskName(), assignment)) {
             return false;
         }
-        // Rounding errors add up in the sum, so it is reset when no assignment is left.
-        held = assignments.isEmpty()
-                ? Resources.NONE
-                : held.minus(assignment.spec().demand());
+        held = held.minus(assignment.spec().demand());
+        if (assignment.spec().isService()) {
+            heldByServices = heldByServices.minus(assignment.spec().demand());
+        }
+        if (assignments.isEmpty()) {
+            // Rounding errors add up in the sums.
+            held = Resources.NONE;
+            heldByServices = Resources.NONE;
+        }
         free = size.minus(leased).minus(held);
         return true;
     }
