Allocation: no reservation of a machine that services keep full

Fix: a job reserves machines that have room for its task once the arrays on them have ended. Not changed: a reservation that waits for the end of a long array.

--- a/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/BackfillReservations.java
@@ -11,7 +11,8 @@
 
 /**
  * Prevents starvation: a job that has been skipped for too long reserves the machine with the most free cores among
- * those that are large enough for its tasks and that it may use. Reservations last for one round.
+ * those that it may use and that have room for its task once the job arrays on them have ended. Reservations last for
+ * one round.
  */
 final class BackfillReservations {
     private final Map<Machine, TeamAllocation> reserved = new HashMap<>();
@@ -67,7 +68,7 @@
             JobSpec spec, Predicate<Machine> isEligible, PlacementIndex<Machine> index) {
         return index.nodes().stream()
                 .filter(machine -> reserved.get(machine) == null
-                        && spec.demand().fitsIn(machine.size())
+                        && spec.demand().fitsIn(machine.resourcesWithoutServices())
                         && spec.allows(machine.type(), machine.zone(), machine.isSpot())
                         && isEligible.test(machine))
                 .max(Comparator.comparingDouble(
