Allocation: one OnDemandPolicy for each round and review

The policy read the wall clock for each waiting job in each round, and again for each selection, so that two jobs of one round could be judged by different times. MachineSelector is created for a round as well.

--- a/src/main/java/notchpick/coordination/leader/allocation/MachineSelector.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/MachineSelector.java
@@ -13,7 +13,7 @@
 import notchpick.scheduling.OnDemandAccess;
 import notchpick.scheduling.PlacementIndex;
 
-/** Selects a machine for a job's next task. */
+/** Selects machines for the next tasks of jobs during one round. */
 final class MachineSelector {
     /** For how many heartbeat periods a job avoids a machine on which one of its tasks failed. */
     private static final int FAILURE_AVOIDANCE_PERIODS = 20;
--- a/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/ResourceAllocator.java
@@ -28,8 +28,6 @@
     private final ClusterState cluster;
     private final ResourceLeases leases;
     private final CommitmentTracker commitments;
-    private final OnDemandPolicy onDemand;
-    private final MachineSelector machineSelector;
     private final PreemptionPlanner preemption;
     private final SkippedJobLog skippedJobs;
     private final double maxSkippedMs;
@@ -40,11 +38,9 @@
         this.cluster = context.cluster();
         this.leases = leases;
         this.commitments = new CommitmentTracker(context, tuning.commitmentDecayS());
-        this.onDemand = new OnDemandPolicy(context);
-        this.machineSelector = new MachineSelector(context, onDemand);
         this.preemption = new PreemptionPlanner(context);
         this.maxSkippedMs = tuning.maxSkippedS() * Milliseconds.PER_SECOND;
-        this.skippedJobs = new SkippedJobLog(context, machineSelector, maxSkippedMs);
+        this.skippedJobs = new SkippedJobLog(context, maxSkippedMs);
     }
 
     /** The decayed overuse of each team. */
@@ -84,11 +80,14 @@
             return;
         }
         PlacementIndex<Machine> index = new PlacementIndex<>(schedulable);
+        OnDemandPolicy onDemand = new OnDemandPolicy(context);
         List<TeamAllocation> allocations = new ArrayList<>();
-        waiting.forEach((team, jobs) -> allocations.add(newAllocation(team, jobs, capacity, activeTeams.size())));
+        waiting.forEach(
+                (team, jobs) -> allocations.add(newAllocation(team, jobs, capacity, activeTeams.size(), onDemand)));
+        MachineSelector machineSelector = new MachineSelector(context, onDemand);
         BackfillReservations reservations = new BackfillReservations(maxSkippedMs);
         new AllocationRound(context, commitments, machineSelector, reservations, index, capacity).run(allocations);
-        skippedJobs.record(allocations, reservations, nowMs);
+        skippedJobs.record(allocations, machineSelector, reservations, nowMs);
         allocations.forEach(allocation -> leases.grant(allocation.lease()));
         if (isPreemptionDue) {
             preemption.preemptFor(allocations, nowMs);
@@ -106,7 +105,8 @@
         return schedulable;
     }
 
-    private TeamAllocation newAllocation(String team, List<Job> jobs, Resources capacity, int activeTeams) {
+    private TeamAllocation newAllocation(
+            String team, List<Job> jobs, Resources capacity, int activeTeams, OnDemandPolicy onDemand) {
         List<WaitingJob<Job>> waiting = new ArrayList<>();
         for (Job job : jobs) {
             double runS = context.runtimes().runS(job.spec());
--- a/src/main/java/notchpick/coordination/leader/allocation/SkippedJobLog.java
+++ b/src/main/java/notchpick/coordination/leader/allocation/SkippedJobLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import notchpick.coordination.leader.term.TermContext;
 import notchpick.model.Job;
@@ -13,21 +14,23 @@
     private static final Logger LOG = LoggerFactory.getLogger(SkippedJobLog.class);
 
     private final TermContext context;
-    private final MachineSelector machineSelector;
     private final double minSkippedMs;
     private final double intervalMs;
     private long lastLoggedAtMs;
 
     /** @param minSkippedMs for how long a job must have been skipped to be logged */
-    SkippedJobLog(TermContext context, MachineSelector machineSelector, double minSkippedMs) {
+    SkippedJobLog(TermContext context, double minSkippedMs) {
         this.context = context;
-        this.machineSelector = machineSelector;
         this.minSkippedMs = minSkippedMs;
         this.intervalMs = Math.max(minSkippedMs, (double) context.heartbeatPeriodMs());
     }
 
     /** Logs one of the jobs that a round has skipped, if the last line is old enough. */
-    void record(List<TeamAllocation> allocations, BackfillReservations reservations, long nowMs) {
+    void record(
+            List<TeamAllocation> allocations,
+            MachineSelector machineSelector,
+            BackfillReservations reservations,
+            long nowMs) {
         if (nowMs - lastLoggedAtMs < intervalMs) {
             return;
         }
@@ -35,12 +38,17 @@
             Optional<Job> longest = allocation.skipped().stream().min(Comparator.comparingLong(Job::skippedSinceMs));
             if (longest.isPresent() && nowMs - longest.get().skippedSinceMs() >= minSkippedMs) {
                 lastLoggedAtMs = nowMs;
-                log(longest.get(), allocation, reservations, nowMs);
+                log(
+                        longest.get(),
+                        allocation,
+                        machineSelector.countObstacles(longest.get(), allocation, reservations, nowMs),
+                        nowMs);
             }
         }
     }
 
-    private void log(Job job, TeamAllocation allocation, BackfillReservations reservations, long nowMs) {
+    private void log(
+            Job job, TeamAllocation allocation, Map<PlacementObstacle, Integer> machinesByObstacle, long nowMs) {
         LOG.info(
                 "job skipped: job={} team={} pendingTasks={} skippedMs={} skippedJobs={} machinesByObstacle={} term={}",
                 job.id(),
@@ -48,7 +56,7 @@
                 job.pendingTasks(),
                 nowMs - job.skippedSinceMs(),
                 allocation.skipped().size(),
-                machineSelector.countObstacles(job, allocation, reservations, nowMs),
+                machinesByObstacle,
                 context.term());
     }
 }
--- a/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
+++ b/src/main/java/notchpick/coordination/leader/scaling/DemandEstimator.java
@@ -32,7 +32,6 @@
     private final ClusterState cluster;
     private final MachineTypeCatalog types;
     private final Predicate<NodePool> isRefused;
-    private final OnDemandPolicy onDemand;
 
     /** @param isRefused whether the cloud has recently rented out fewer machines of a pool than requested */
     DemandEstimator(TermContext context, Predicate<NodePool> isRefused) {
@@ -41,11 +40,11 @@
         this.cluster = context.cluster();
         this.types = context.machineTypes();
         this.isRefused = isRefused;
-        this.onDemand = new OnDemandPolicy(context);
     }
 
     /** The demands of the open jobs that are not blocked, in the order in which the jobs are served. */
     List<JobDemand> demands() {
+        OnDemandPolicy onDemand = new OnDemandPolicy(context);
         double ownedCores = ownedCores();
         double queuedCoreS = 0;
         Map<String, Resources> demandByTeam = new HashMap<>();
--- a/src/test/java/notchpick/coordination/leader/term/OnDemandPolicyTest.java
+++ b/src/test/java/notchpick/coordination/leader/term/OnDemandPolicyTest.java
@@ -23,8 +23,8 @@
     private final Job job = new Job(
             TestJobs.job("run-1").submittedAtMs(loop.wallTimeMs()).tasks(2).build(), 1);
 
-    private OnDemandPolicy policyOfTerm(long term) {
-        return new OnDemandPolicy(new TermContext(
+    private OnDemandAccess accessInTerm(long term) {
+        OnDemandPolicy policy = new OnDemandPolicy(new TermContext(
                 term,
                 loop,
                 loop,
@@ -32,31 +32,31 @@
                 new ClusterState(ended -> {}),
                 new MachineTypeCatalog(),
                 new RuntimeEstimator()));
+        return policy.accessOf(job);
     }
 
     @Test
     void jobUsesRunningMachinesAfterItHasWaitedForSpot() {
-        OnDemandPolicy policy = policyOfTerm(1);
         simulation.runUntil(SPOT_WAIT_MS - 1);
-        assertEquals(OnDemandAccess.NONE, policy.accessOf(job));
+        assertEquals(OnDemandAccess.NONE, accessInTerm(1));
         simulation.runUntil(SPOT_WAIT_MS);
-        assertEquals(OnDemandAccess.RUNNING_MACHINES, policy.accessOf(job));
+        assertEquals(OnDemandAccess.RUNNING_MACHINES, accessInTerm(1));
     }
 
     /** A new leader does not know for how long its predecessor has skipped the job. */
     @Test
     void waitContinuesAcrossTerms() {
         simulation.runUntil(SPOT_WAIT_MS);
-        assertEquals(OnDemandAccess.RUNNING_MACHINES, policyOfTerm(2).accessOf(job));
+        assertEquals(OnDemandAccess.RUNNING_MACHINES, accessInTerm(2));
     }
 
     @Test
     void machinesAreRentedOnlyForJobsThatNeedThem() {
         job.setSpotTooSlow(true);
-        assertEquals(OnDemandAccess.RENTAL, policyOfTerm(1).accessOf(job));
+        assertEquals(OnDemandAccess.RENTAL, accessInTerm(1));
         job.setSpotTooSlow(false);
-        assertEquals(OnDemandAccess.NONE, policyOfTerm(1).accessOf(job));
+        assertEquals(OnDemandAccess.NONE, accessInTerm(1));
         job.markSpotUnavailable();
-        assertEquals(OnDemandAccess.RENTAL, policyOfTerm(1).accessOf(job));
+        assertEquals(OnDemandAccess.RENTAL, accessInTerm(1));
     }
 }
