Tests: the check for waiting jobs is a class of its own

WaitingJobChecker takes over the map of waits and the bound of 90 s; moved only, the check is the same (InvariantCheckerTest).

--- a/src/test/java/notchpick/simulation/InvariantChecker.java
+++ b/src/test/java/notchpick/simulation/InvariantChecker.java
@@ -16,8 +16,6 @@
 public final class InvariantChecker {
     /** Once all faults are over, a job about which no request is answered for longer than this counts as lost. */
     static final long MAX_UNANSWERED_MS = 75_000;
-    /** The longest time that a job may wait while a suitable machine has room and its team is under its limit. */
-    static final long MAX_WAITING_MS = 90_000;
     /** Tolerance for rounding errors in the sum of a team's cores; a team may not exceed its limit by anything else. */
     private static final double ROUNDING_TOLERANCE = 1e-6;
 
@@ -37,7 +35,7 @@
     /** When a request about a job was last answered, by job. */
     private final Map<String, Long> lastAnswerAtMs = new HashMap<>();
     /** Since when a job has been waiting although it could start, by job. */
-    private final Map<String, Long> waitingSinceMs = new HashMap<>();
+    private final WaitingJobChecker waitingJobs = new WaitingJobChecker();
     /** Ids of submissions that must not be accepted. */
     private final Set<String> invalidJobs = new HashSet<>();
 
@@ -206,7 +204,7 @@
         String jobId = jobOf(task);
         cancellations.recordStart(jobId);
         servedJobs.recordStart(jobId, clock.getAsLong());
-        waitingSinceMs.remove(jobId);
+        waitingJobs.recordNotWaiting(jobId);
         running.put(task, new RunningTask(machine, zone));
         JobSpec job = jobs.get(jobId);
         if (job != null) {
@@ -288,7 +286,7 @@
     /** Records that no fault is active from now on; only then are waiting and unanswered jobs violations. */
     public void recordFaultsOver() {
         faultsOverAtMs = clock.getAsLong();
-        waitingSinceMs.clear();
+        waitingJobs.reset();
     }
 
     /**
@@ -298,10 +296,11 @@
     public void recordWaitingJob(String job, boolean couldStart) {
         long nowMs = clock.getAsLong();
         if (!couldStart || nowMs < faultsOverAtMs) {
-            waitingSinceMs.remove(job);
-        } else if (nowMs - waitingSinceMs.computeIfAbsent(job, j -> nowMs) > MAX_WAITING_MS) {
-            addViolation("left_waiting", job + " since " + waitingSinceMs.get(job) / MS_PER_S);
-            waitingSinceMs.put(job, nowMs);
+            waitingJobs.recordNotWaiting(job);
+        } else {
+            waitingJobs
+                    .recordWaiting(job, nowMs)
+                    .ifPresent(sinceMs -> addViolation("left_waiting", job + " since " + sinceMs / MS_PER_S));
         }
     }
 
