--- a/src/test/java/notchpick/soak/ProcessControllers.java
+++ b/src/test/java/notchpick/soak/ProcessControllers.java
@@ -7,8 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -57,6 +59,15 @@
     private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
     private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
     private final JettyHttpCaller caller;
+    /**
+     * Held while a process is forked, and while addresses are allocated and opened. A new process has copies of all open
+     * sockets for a moment, so that an address which is closed meanwhile could not be opened again.
+     */
+    private static final Object FORK_LOCK = new Object();
+
+    /** All allocated addresses: a controller that is still starting has not opened its own yet. */
+    private final Set<String> reserved = new HashSet<>();
+
     private final Map<String, Ports> ports = new HashMap<>();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     private final Map<String, BooleanSupplier> alive = new HashMap<>();
@@ -83,7 +94,10 @@
 
     @Override
     public Started start(ProcessStart start) {
-        Ports own = ports.computeIfAbsent(start.node(), node -> openPorts(start));
+        Ports own;
+        synchronized (FORK_LOCK) {
+            own = ports.computeIfAbsent(start.node(), node -> openPorts(start));
+        }
         alive.put(start.node(), start.isAlive());
         try {
             Path settings = logDirectory.resolve(start.node() + ".json");
@@ -101,7 +115,9 @@
             if (previous != null) {
                 previous.destroyForcibly().onExit().join();
             }
-            processes.put(start.node(), builder.start());
+            synchronized (FORK_LOCK) {
+                processes.put(start.node(), builder.start());
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -118,7 +134,8 @@
         List<String> targets = new ArrayList<>(List.of(deployment.stateStoreAddress(), deployment.cloudAddress()));
         deployment.peers().stream().map(Peer::address).forEach(targets::add);
         try {
-            List<String> free = LoopbackAddresses.allocate(host, targets.size() + 2);
+            List<String> free = LoopbackAddresses.allocate(host, targets.size() + 2, reserved);
+            reserved.addAll(free);
             Map<String, String> outgoing = new HashMap<>();
             List<Endpoint> endpoints = new ArrayList<>();
             for (int i = 0; i < targets.size(); i++) {
